core: workspace, names, wire codec, settings, logs, metrics and the configuration text

Cause: nothing stood yet. Change: CMake workspace with presets; core types (names, findings, time, CBOR codec, wait-free mailbox), settings by Abseil flags and environment, log4cplus parts, Boost.Accumulators metrics, YAML configuration texts checked as a whole with every finding's line and column. Conclusion: yaml-cpp is kept for the texts because each node knows its line and column, which Qt's JSON reader does not give.

--- /dev/null
+++ b/cmake/ProjectDependencies.cmake
@@ -0,0 +1,12 @@
+# Packages, all from Debian; README.md lists the install command.
+find_package(Qt6 6.4 REQUIRED COMPONENTS Core Network HttpServer)
+find_package(absl REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(Boost 1.74 REQUIRED)
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(nghttp2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(log4cplus REQUIRED IMPORTED_TARGET log4cplus)
+pkg_check_modules(urcu REQUIRED IMPORTED_TARGET liburcu-memb)
+pkg_check_modules(urcu_cds REQUIRED IMPORTED_TARGET liburcu-cds)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
--- /dev/null
+++ b/cmake/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/libs/core/src/wire.cpp
@@ -0,0 +1,100 @@
+#include "dandelioncrank/core/wire.hpp"
+
+#include <xxhash.h>
+
+namespace dandelioncrank {
+
+namespace {
+
+// Bounds recursion on hostile input.
+constexpr int max_depth = 24;
+
+} // namespace
+
+wire_reader::wire_reader(const QByteArray& bytes) : stream_(bytes) {}
+
+void wire_reader::enter()
+{
+    if (!stream_.isArray() || ++depth_ > max_depth)
+        throw wire_error("expected an array");
+    if (!stream_.enterContainer())
+        throw wire_error("array cut short");
+}
+
+void wire_reader::leave()
+{
+    // Later versions may append fields; this version skips them.
+    while (stream_.hasNext()) {
+        if (!stream_.next(max_depth))
+            throw wire_error("array cut short");
+    }
+    if (stream_.lastError() != QCborError::NoError || !stream_.leaveContainer())
+        throw wire_error("array cut short");
+    --depth_;
+}
+
+bool wire_reader::has_next() const
+{
+    return stream_.hasNext();
+}
+
+bool wire_reader::read_bool()
+{
+    if (!stream_.isBool())
+        throw wire_error("expected a boolean");
+    bool value = stream_.toBool();
+    stream_.next();
+    return value;
+}
+
+std::int64_t wire_reader::read_integer()
+{
+    if (!stream_.isInteger())
+        throw wire_error("expected an integer");
+    // Bit pattern is kept for unsigned values above the signed range.
+    std::int64_t value =
+        stream_.isUnsignedInteger()
+            ? static_cast<std::int64_t>(stream_.toUnsignedInteger())
+            : stream_.toInteger();
+    stream_.next();
+    return value;
+}
+
+double wire_reader::read_double()
+{
+    if (!stream_.isDouble())
+        throw wire_error("expected a number");
+    double value = stream_.toDouble();
+    stream_.next();
+    return value;
+}
+
+QByteArray wire_reader::read_bytes()
+{
+    if (!stream_.isByteArray())
+        throw wire_error("expected a byte string");
+    QByteArray bytes;
+    auto part = stream_.readByteArray();
+    while (part.status == QCborStreamReader::Ok) {
+        bytes += part.data;
+        part = stream_.readByteArray();
+    }
+    if (part.status == QCborStreamReader::Error)
+        throw wire_error("byte string cut short");
+    return bytes;
+}
+
+void wire_reader::finish()
+{
+    if (stream_.lastError() != QCborError::NoError)
+        throw wire_error("value cut short");
+    if (stream_.currentOffset() != 0 && stream_.hasNext())
+        throw wire_error("bytes after the value");
+}
+
+std::uint64_t stable_hash(std::string_view bytes)
+{
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/manifest/test/shape_packing_test.cpp
@@ -0,0 +1,53 @@
+#include "dandelioncrank/manifest/shape_packing.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace dandelioncrank;
+
+TEST_CASE("a rack block never spans racks", "[packing]")
+{
+    std::vector<rack_capacity> racks = {{{8, 8}}, {{8, 8}}};
+    auto places = pack_blocks(
+        racks,
+        {{16, adjacency::rack}, {9, adjacency::rack}, {8, adjacency::worker}});
+    REQUIRE(places[0]);
+    REQUIRE(places[1]);
+    CHECK_FALSE(places[2]);
+}
+
+TEST_CASE("random blocks keep to capacity and adjacency", "[packing]")
+{
+    std::mt19937 random(7);
+    for (int round = 0; round < 200; ++round) {
+        std::vector<rack_capacity> racks(1 + random() % 4);
+        for (rack_capacity& rack : racks)
+            rack.workers_.assign(1 + random() % 6, int(random() % 9));
+        std::vector<block_demand> blocks(random() % 10);
+        for (block_demand& block : blocks) {
+            block.accelerators_ = 1 + int(random() % 16);
+            block.within_ = static_cast<adjacency>(random() % 3);
+        }
+        auto places = pack_blocks(racks, blocks);
+        REQUIRE(places.size() == blocks.size());
+        for (std::size_t i = 0; i < places.size(); ++i) {
+            if (!places[i])
+                continue;
+            int sum = 0;
+            for (const block_cell& cell : *places[i]) {
+                sum += cell.accelerators_;
+                racks[cell.rack_].workers_[cell.worker_] -= cell.accelerators_;
+                if (blocks[i].within_ != adjacency::any)
+                    CHECK(cell.rack_ == places[i]->front().rack_);
+            }
+            CHECK(sum == blocks[i].accelerators_);
+            if (blocks[i].within_ == adjacency::worker)
+                CHECK(places[i]->size() == 1);
+        }
+        for (const rack_capacity& rack : racks) {
+            for (int left : rack.workers_)
+                CHECK(left >= 0);
+        }
+    }
+}
