--- /dev/null
+++ b/libs/http/include/dandelioncrank/http/tcp_listener.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "dandelioncrank/settings/settings_reader.hpp"
+
+#include <QSocketNotifier>
+
+#include <functional>
+#include <memory>
+
+namespace dandelioncrank {
+
+/// Listening TCP socket. Several listeners may share one address
+/// (SO_REUSEPORT); the kernel spreads connections over them.
+class tcp_listener
+{
+  public:
+    using accept_handler = std::function<void(int descriptor)>;
+
+    /// Port 0 takes any free port. Throws std::system_error.
+    tcp_listener(const host_port& address, accept_handler on_accept);
+    ~tcp_listener();
+
+    tcp_listener(const tcp_listener&) = delete;
+    tcp_listener& operator=(const tcp_listener&) = delete;
+
+    [[nodiscard]] int port() const;
+
+  private:
+    void accept_all();
+
+    int descriptor_ = -1;
+    accept_handler on_accept_;
+    std::unique_ptr<QSocketNotifier> notifier_;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/http/src/message_parser.cpp
@@ -0,0 +1,366 @@
+// The only source that instantiates Boost.Beast, which is slow to compile.
+#include "dandelioncrank/http/message_parser.hpp"
+
+#include "dandelioncrank/core/overloaded.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <limits>
+#include <sstream>
+#include <variant>
+
+namespace dandelioncrank {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::string_view head_end = "\r\n\r\n";
+
+bool starts_with_name(std::string_view line, std::string_view name)
+{
+    if (line.size() <= name.size() || line[name.size()] != ':')
+        return false;
+    return beast::iequals(beast::string_view(line.data(), name.size()),
+                          beast::string_view(name.data(), name.size()));
+}
+
+bool has_bare_line_feed(std::string_view bytes)
+{
+    for (auto at = bytes.find('\n'); at != bytes.npos;
+         at = bytes.find('\n', at + 1)) {
+        if (at == 0 || bytes[at - 1] != '\r')
+            return true;
+    }
+    return false;
+}
+
+/// What Beast lets pass and this project refuses.
+std::optional<parse_refusal> check_head(std::string_view head, bool request)
+{
+    int lengths = 0;
+    int hosts = 0;
+    auto line_start = head.find("\r\n");
+    while (line_start != head.npos) {
+        line_start += 2;
+        auto line_end = head.find("\r\n", line_start);
+        std::string_view line = head.substr(line_start, line_end - line_start);
+        line_start = line_end;
+        if (line.empty())
+            break;
+        if (line[0] == ' ' || line[0] == '\t')
+            return parse_refusal{400, "a header line is folded"};
+        lengths += starts_with_name(line, "Content-Length");
+        hosts += starts_with_name(line, "Host");
+    }
+    if (lengths > 1)
+        return parse_refusal{400, "there is more than one Content-Length"};
+    if (request && hosts != 1)
+        return parse_refusal{400, "exactly one Host line is needed"};
+    return std::nullopt;
+}
+
+parse_refusal refusal_for(const beast::error_code& error)
+{
+    if (error == http::error::header_limit)
+        return {431, "the header is too large"};
+    if (error == http::error::body_limit)
+        return {413, "the body is too large"};
+    if (error == http::error::bad_version)
+        return {505, "the HTTP version is not served"};
+    return {400, "malformed message: " + error.message()};
+}
+
+template <bool IsRequest>
+using beast_parser = http::parser<IsRequest, http::string_body>;
+
+template <class Message>
+void copy_fields(const Message& message, header_list& headers)
+{
+    for (const auto& field : message) {
+        headers.add(std::string(field.name_string()),
+                    std::string(field.value()));
+    }
+}
+
+template <class Message>
+std::string serialize(Message& message, bool head_only)
+{
+    http::serializer<Message::is_request::value, http::string_body> serializer(
+        message);
+    serializer.split(true);
+    std::string bytes;
+    beast::error_code error;
+    while (!serializer.is_done()) {
+        std::size_t taken = 0;
+        serializer.next(error, [&](beast::error_code&, const auto& buffers) {
+            for (auto part : beast::buffers_range_ref(buffers)) {
+                bytes.append(static_cast<const char*>(part.data()),
+                             part.size());
+                taken += part.size();
+            }
+        });
+        serializer.consume(taken);
+        if (error || (head_only && serializer.is_header_done()))
+            break;
+    }
+    return bytes;
+}
+
+template <class Message>
+void fill(Message& message, const header_list& headers, const std::string& body)
+{
+    message.version(11);
+    for (const header_field& field : headers.items())
+        message.insert(field.name_, field.value_);
+    message.erase(http::field::transfer_encoding);
+    message.erase(http::field::connection);
+    message.body() = body;
+    message.content_length(body.size());
+}
+
+} // namespace
+
+class message_parser::implementation
+{
+  public:
+    implementation(kind what, const http_limits& limits)
+        : kind_(what), limits_(limits)
+    {
+        reset_parser();
+    }
+
+    parse_state feed(std::string& buffer)
+    {
+        if (state_ != parse_state::incomplete)
+            return state_;
+        if (!head_complete_ && !take_head(buffer))
+            return state_;
+        take_body(buffer);
+        return state_;
+    }
+
+    void reset_parser()
+    {
+        head_complete_ = false;
+        if (kind_ == kind::request)
+            configure(parser_.emplace<beast_parser<true>>());
+        else
+            configure(parser_.emplace<beast_parser<false>>());
+        if (kind_ == kind::response_to_head)
+            std::get<beast_parser<false>>(parser_).skip(true);
+    }
+
+    http_request take_request()
+    {
+        auto message = std::get<beast_parser<true>>(parser_).release();
+        http_request request;
+        request.method_ = std::string(message.method_string());
+        request.target_ = std::string(message.target());
+        request.keep_alive_ = message.keep_alive();
+        copy_fields(message, request.headers_);
+        request.body_ = std::move(message.body());
+        return request;
+    }
+
+    http_response take_response()
+    {
+        auto message = std::get<beast_parser<false>>(parser_).release();
+        http_response response;
+        response.status_ = static_cast<int>(message.result_int());
+        response.keep_alive_ = message.keep_alive();
+        copy_fields(message, response.headers_);
+        response.body_ = std::move(message.body());
+        return response;
+    }
+
+    [[nodiscard]] bool expects_continue() const
+    {
+        const auto* parser = std::get_if<beast_parser<true>>(&parser_);
+        return parser != nullptr && head_complete_ &&
+               state_ == parse_state::incomplete &&
+               beast::iequals(parser->get()[http::field::expect],
+                              "100-continue");
+    }
+
+    kind kind_;
+    http_limits limits_;
+    bool head_complete_ = false;
+    parse_state state_ = parse_state::incomplete;
+    parse_refusal refusal_;
+
+  private:
+    template <class Parser>
+    void configure(Parser& parser)
+    {
+        auto most = std::numeric_limits<std::uint32_t>::max();
+        parser.header_limit(static_cast<std::uint32_t>(
+            std::min<std::size_t>(limits_.header_bytes_, most)));
+        parser.body_limit(limits_.body_bytes_);
+        parser.eager(true);
+    }
+
+    void refuse(parse_refusal refusal)
+    {
+        refusal_ = std::move(refusal);
+        state_ = parse_state::refused;
+    }
+
+    // The head is checked as a whole before Beast sees any of it.
+    bool take_head(std::string& buffer)
+    {
+        std::string_view bytes = buffer;
+        auto end = bytes.find(head_end);
+        std::string_view head = bytes.substr(0, end);
+        if (head.size() > limits_.header_bytes_) {
+            refuse({431, "the header is too large"});
+            return false;
+        }
+        if (has_bare_line_feed(head)) {
+            refuse({400, "a line ends without a carriage return"});
+            return false;
+        }
+        if (end == bytes.npos)
+            return false;
+        head = bytes.substr(0, end + head_end.size());
+        if (auto fault = check_head(head, kind_ == kind::request)) {
+            refuse(*fault);
+            return false;
+        }
+        return put(buffer, head.size()) && check_parsed_head(buffer);
+    }
+
+    bool check_parsed_head(std::string& buffer)
+    {
+        if (state_ == parse_state::refused)
+            return false;
+        head_complete_ = true;
+        if (kind_ == kind::request) {
+            auto version =
+                std::get<beast_parser<true>>(parser_).get().version();
+            if (version != 11 && version != 10)
+                refuse({505, "the HTTP version is not served"});
+            return state_ == parse_state::incomplete;
+        }
+        auto& parser = std::get<beast_parser<false>>(parser_);
+        if (parser.get().result_int() / 100 == 1) {
+            reset_parser();
+            state_ = parse_state::incomplete;
+            return feed(buffer) == parse_state::incomplete && head_complete_;
+        }
+        if (state_ == parse_state::incomplete && parser.need_eof())
+            refuse({502, "the answer names no length"});
+        return state_ == parse_state::incomplete;
+    }
+
+    void take_body(std::string& buffer)
+    {
+        while (state_ == parse_state::incomplete && !buffer.empty()) {
+            std::size_t before = buffer.size();
+            if (!put(buffer, before) || buffer.size() == before)
+                return;
+        }
+    }
+
+    // Gives the first size bytes to Beast and drops what it consumed.
+    bool put(std::string& buffer, std::size_t size)
+    {
+        beast::error_code error;
+        std::size_t used = 0;
+        bool done = false;
+        std::visit(
+            [&](auto& parser) {
+                using parser_type = std::decay_t<decltype(parser)>;
+                if constexpr (!std::is_same_v<parser_type, std::monostate>) {
+                    used = parser.put(boost::asio::buffer(buffer.data(), size),
+                                      error);
+                    done = parser.is_done();
+                }
+            },
+            parser_);
+        buffer.erase(0, used);
+        if (error && error != http::error::need_more) {
+            refuse(refusal_for(error));
+            return false;
+        }
+        if (done)
+            state_ = parse_state::complete;
+        return true;
+    }
+
+    std::variant<std::monostate, beast_parser<true>, beast_parser<false>>
+        parser_;
+};
+
+message_parser::message_parser(kind what, const http_limits& limits)
+    : implementation_(std::make_unique<implementation>(what, limits))
+{
+}
+
+message_parser::~message_parser() = default;
+message_parser::message_parser(message_parser&&) noexcept = default;
+message_parser& message_parser::operator=(message_parser&&) noexcept = default;
+
+parse_state message_parser::feed(std::string& buffer)
+{
+    return implementation_->feed(buffer);
+}
+
+parse_state message_parser::state() const
+{
+    return implementation_->state_;
+}
+
+bool message_parser::head_complete() const
+{
+    return implementation_->head_complete_;
+}
+
+bool message_parser::expects_continue() const
+{
+    return implementation_->expects_continue();
+}
+
+const parse_refusal& message_parser::refusal() const
+{
+    return implementation_->refusal_;
+}
+
+http_request message_parser::take_request()
+{
+    return implementation_->take_request();
+}
+
+http_response message_parser::take_response()
+{
+    return implementation_->take_response();
+}
+
+std::string to_bytes(const http_request& request)
+{
+    http::request<http::string_body> message;
+    message.method_string(request.method_);
+    message.target(request.target_);
+    fill(message, request.headers_, request.body_);
+    if (!request.keep_alive_)
+        message.set(http::field::connection, "close");
+    return serialize(message, false);
+}
+
+std::string to_bytes(const http_response& response, bool answers_head)
+{
+    http::response<http::string_body> message;
+    message.result(static_cast<unsigned>(response.status_));
+    fill(message, response.headers_, response.body_);
+    if (response.status_ == 204 || response.status_ == 304)
+        message.erase(http::field::content_length);
+    if (!response.keep_alive_)
+        message.set(http::field::connection, "close");
+    return serialize(message, answers_head);
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/http/src/tcp_listener.cpp
@@ -0,0 +1,86 @@
+#include "dandelioncrank/http/tcp_listener.hpp"
+
+#include <cerrno>
+#include <system_error>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace dandelioncrank {
+
+namespace {
+
+constexpr int backlog = 1024;
+constexpr int accepts_per_turn = 64;
+
+[[noreturn]] void throw_last_error(const std::string& what)
+{
+    throw std::system_error(errno, std::generic_category(), what);
+}
+
+} // namespace
+
+tcp_listener::tcp_listener(const host_port& address, accept_handler on_accept)
+    : on_accept_(std::move(on_accept))
+{
+    descriptor_ =
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor_ < 0)
+        throw_last_error("socket");
+    int on = 1;
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(address.port_));
+    bool parsed =
+        ::inet_pton(AF_INET, address.host_.c_str(), &target.sin_addr) == 1;
+    if (!parsed) {
+        ::close(descriptor_);
+        errno = EINVAL;
+        throw_last_error("address " + address.to_text());
+    }
+    bool bound = ::bind(descriptor_, reinterpret_cast<sockaddr*>(&target),
+                        sizeof target) == 0 &&
+                 ::listen(descriptor_, backlog) == 0;
+    if (!bound) {
+        int error = errno;
+        ::close(descriptor_);
+        errno = error;
+        throw_last_error("listen on " + address.to_text());
+    }
+    notifier_ =
+        std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Read);
+    QObject::connect(notifier_.get(), &QSocketNotifier::activated,
+                     [this] { accept_all(); });
+}
+
+tcp_listener::~tcp_listener()
+{
+    notifier_.reset();
+    if (descriptor_ >= 0)
+        ::close(descriptor_);
+}
+
+int tcp_listener::port() const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+void tcp_listener::accept_all()
+{
+    for (int i = 0; i < accepts_per_turn; ++i) {
+        int accepted = ::accept4(descriptor_, nullptr, nullptr,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0)
+            return;
+        on_accept_(accepted);
+    }
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/http/src/tcp_socket.cpp
@@ -0,0 +1,225 @@
+#include "dandelioncrank/http/tcp_socket.hpp"
+
+#include <QPointer>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace dandelioncrank {
+
+namespace {
+
+constexpr std::size_t read_bytes = 64 * 1024;
+
+void set_no_delay(int descriptor)
+{
+    int on = 1;
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+bool would_block(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK;
+}
+
+} // namespace
+
+tcp_socket::tcp_socket() = default;
+
+tcp_socket::~tcp_socket()
+{
+    close();
+}
+
+void tcp_socket::adopt(int descriptor)
+{
+    descriptor_ = descriptor;
+    connected_ = true;
+    set_no_delay(descriptor);
+    watch();
+}
+
+void tcp_socket::connect_to(const host_port& address)
+{
+    descriptor_ =
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(address.port_));
+    bool usable =
+        descriptor_ >= 0 &&
+        ::inet_pton(AF_INET, address.host_.c_str(), &target.sin_addr) == 1;
+    if (!usable) {
+        QMetaObject::invokeMethod(
+            this, [this] { break_off("no usable address"); },
+            Qt::QueuedConnection);
+        return;
+    }
+    set_no_delay(descriptor_);
+    int result = ::connect(descriptor_, reinterpret_cast<sockaddr*>(&target),
+                           sizeof target);
+    if (result < 0 && errno != EINPROGRESS) {
+        std::string reason = std::strerror(errno);
+        QMetaObject::invokeMethod(
+            this, [this, reason] { break_off(reason); }, Qt::QueuedConnection);
+        return;
+    }
+    watch();
+    write_notifier_->setEnabled(true);
+}
+
+void tcp_socket::watch()
+{
+    read_notifier_ =
+        std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Read);
+    write_notifier_ =
+        std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Write);
+    write_notifier_->setEnabled(false);
+    read_notifier_->setEnabled(connected_ && reading_);
+    QObject::connect(read_notifier_.get(), &QSocketNotifier::activated, this,
+                     [this] { handle_readable(); });
+    QObject::connect(write_notifier_.get(), &QSocketNotifier::activated, this,
+                     [this] { handle_writable(); });
+}
+
+void tcp_socket::write(const std::string& bytes)
+{
+    if (!is_open())
+        return;
+    output_ += bytes;
+    if (connected_)
+        flush();
+}
+
+void tcp_socket::finish_writing()
+{
+    finish_wanted_ = true;
+    if (is_open() && connected_ && output_.empty())
+        ::shutdown(descriptor_, SHUT_WR);
+}
+
+void tcp_socket::set_reading(bool on)
+{
+    reading_ = on;
+    if (read_notifier_)
+        read_notifier_->setEnabled(on && connected_ && !input_ended_);
+}
+
+void tcp_socket::close()
+{
+    // A notifier may be the caller, so it is destroyed by the event loop.
+    for (auto* notifier : {&read_notifier_, &write_notifier_}) {
+        if (!*notifier)
+            continue;
+        (*notifier)->setEnabled(false);
+        notifier->release()->deleteLater();
+    }
+    if (descriptor_ >= 0)
+        ::close(descriptor_);
+    descriptor_ = -1;
+    connected_ = false;
+}
+
+bool tcp_socket::has_stirred() const
+{
+    if (!is_open() || input_ended_ || !input_.empty())
+        return true;
+    char byte = 0;
+    auto got = ::recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || !would_block(errno);
+}
+
+void tcp_socket::handle_readable()
+{
+    if (!is_open())
+        return;
+    std::array<char, read_bytes> chunk;
+    auto got = ::recv(descriptor_, chunk.data(), chunk.size(), 0);
+    if (got < 0) {
+        if (!would_block(errno) && errno != EINTR)
+            break_off(std::strerror(errno));
+        return;
+    }
+    if (got == 0) {
+        input_ended_ = true;
+        read_notifier_->setEnabled(false);
+        if (on_input_end_)
+            on_input_end_();
+        return;
+    }
+    input_.append(chunk.data(), static_cast<std::size_t>(got));
+    if (on_input_)
+        on_input_();
+}
+
+void tcp_socket::handle_writable()
+{
+    if (!is_open())
+        return;
+    if (!connected_) {
+        finish_connecting();
+        return;
+    }
+    flush();
+}
+
+void tcp_socket::finish_connecting()
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    ::getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+        break_off(std::strerror(error));
+        return;
+    }
+    connected_ = true;
+    write_notifier_->setEnabled(false);
+    read_notifier_->setEnabled(reading_);
+    QPointer<tcp_socket> self(this);
+    if (on_connected_)
+        on_connected_();
+    if (self && is_open() && !output_.empty())
+        flush();
+}
+
+bool tcp_socket::flush()
+{
+    while (!output_.empty()) {
+        auto sent =
+            ::send(descriptor_, output_.data(), output_.size(), MSG_NOSIGNAL);
+        if (sent < 0 && errno == EINTR)
+            continue;
+        if (sent < 0 && would_block(errno)) {
+            write_notifier_->setEnabled(true);
+            return false;
+        }
+        if (sent < 0) {
+            break_off(std::strerror(errno));
+            return false;
+        }
+        sent_bytes_ += static_cast<std::uint64_t>(sent);
+        output_.erase(0, static_cast<std::size_t>(sent));
+    }
+    write_notifier_->setEnabled(false);
+    if (finish_wanted_)
+        ::shutdown(descriptor_, SHUT_WR);
+    if (on_drained_)
+        on_drained_();
+    return true;
+}
+
+void tcp_socket::break_off(const std::string& reason)
+{
+    close();
+    if (on_broken_)
+        on_broken_(reason);
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/http/test/message_parser_test.cpp
@@ -0,0 +1,131 @@
+#include "dandelioncrank/http/message_parser.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelioncrank;
+
+namespace {
+
+struct parsed
+{
+    parse_state state_;
+    int status_;
+    std::string rest_;
+};
+
+parsed parse(message_parser::kind kind, std::string bytes,
+             const http_limits& limits = {})
+{
+    message_parser parser(kind, limits);
+    parser.feed(bytes);
+    return {parser.state(), parser.refusal().status_, bytes};
+}
+
+parse_state request_state(const std::string& head)
+{
+    return parse(message_parser::kind::request, head + "\r\n").state_;
+}
+
+parse_state response_state(const std::string& bytes)
+{
+    return parse(message_parser::kind::response, bytes).state_;
+}
+
+const std::string start = "POST /a HTTP/1.1\r\nHost: x\r\n";
+
+} // namespace
+
+TEST_CASE("ambiguous framing is refused", "[parser]")
+{
+    CHECK(request_state(start + "Content-Length: 1\r\nContent-Length: 2\r\n") ==
+          parse_state::refused);
+    CHECK(request_state(start + "Content-Length: 2\r\nContent-Length: 2\r\n") ==
+          parse_state::refused);
+    CHECK(request_state(start + "Content-Length: 2\r\n"
+                                "Transfer-Encoding: chunked\r\n") ==
+          parse_state::refused);
+    CHECK(request_state(start + "Transfer-Encoding: chunked\r\n"
+                                "Content-Length: 2\r\n") ==
+          parse_state::refused);
+    CHECK(request_state(start + "Content-Length: -1\r\n") ==
+          parse_state::refused);
+    CHECK(request_state(start + "A: b\r\n c\r\n") == parse_state::refused);
+    CHECK(request_state(start + "Host: y\r\n") == parse_state::refused);
+    CHECK(request_state("GET / HTTP/1.1\r\n") == parse_state::refused);
+    CHECK(request_state("GET / HTTP/1.1\nHost: x\n") == parse_state::refused);
+    CHECK(request_state(start + "A : b\r\n") == parse_state::refused);
+    CHECK(request_state("nonsense\r\n") == parse_state::refused);
+}
+
+TEST_CASE("an oversized message is refused with its status", "[parser]")
+{
+    http_limits limits;
+    auto kind = message_parser::kind::request;
+    std::string head = start + "A: " + std::string(3'000'000, 'a');
+    CHECK(parse(kind, head, limits).status_ == 431);
+    CHECK(parse(kind, head + "\r\n\r\n", limits).status_ == 431);
+    limits.body_bytes_ = 10;
+    CHECK(parse(kind, start + "Content-Length: 11\r\n\r\n", limits).status_ ==
+          413);
+}
+
+TEST_CASE("a pipelined request stays in the buffer", "[parser]")
+{
+    std::string one = start + "Content-Length: 2\r\n\r\nab";
+    auto result = parse(message_parser::kind::request, one + one);
+    CHECK(result.state_ == parse_state::complete);
+    CHECK(result.rest_ == one);
+}
+
+TEST_CASE("a request survives any split of its bytes", "[parser]")
+{
+    std::string bytes = start + "Transfer-Encoding: chunked\r\n\r\n"
+                                "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+        message_parser parser(message_parser::kind::request, {});
+        std::string buffer = bytes.substr(0, cut);
+        parser.feed(buffer);
+        buffer += bytes.substr(cut);
+        REQUIRE(parser.feed(buffer) == parse_state::complete);
+        CHECK(parser.take_request().body_ == "abcde");
+    }
+}
+
+TEST_CASE("an answer without a provable end is refused", "[parser]")
+{
+    std::string ok = "HTTP/1.1 200 OK\r\n";
+    CHECK(response_state(ok + "\r\nabc") == parse_state::refused);
+    CHECK(response_state(ok + "Content-Length: 5\r\n\r\nabc") ==
+          parse_state::incomplete);
+    CHECK(response_state(ok + "Transfer-Encoding: chunked\r\n\r\n"
+                              "3\r\nabc\r\nzz\r\n") == parse_state::refused);
+    CHECK(response_state(ok + "Transfer-Encoding: chunked\r\n\r\n"
+                              "3\r\nabc\r\n") == parse_state::incomplete);
+    CHECK(response_state(ok + "Content-Length: 3\r\n\r\nabc") ==
+          parse_state::complete);
+    CHECK(response_state("HTTP/1.1 204 No Content\r\n\r\n") ==
+          parse_state::complete);
+    CHECK(response_state("HTTP/1.1 100 Continue\r\n\r\n" + ok +
+                         "Content-Length: 0\r\n\r\n") == parse_state::complete);
+}
+
+TEST_CASE("what is written can be read back", "[parser]")
+{
+    http_request request;
+    request.method_ = "PUT";
+    request.target_ = "/x?y=1";
+    request.headers_.add("Host", "x");
+    request.headers_.add("X-A", "b");
+    request.body_ = "hello";
+    std::string bytes = to_bytes(request);
+    message_parser parser(message_parser::kind::request, {});
+    REQUIRE(parser.feed(bytes) == parse_state::complete);
+    http_request back = parser.take_request();
+    CHECK(back.method_ == "PUT");
+    CHECK(back.target_ == "/x?y=1");
+    CHECK(back.headers_.find("x-a") == "b");
+    CHECK(back.body_ == "hello");
+    http_response empty;
+    empty.status_ = 204;
+    CHECK(to_bytes(empty).find("Content-Length") == std::string::npos);
+}
--- /dev/null
+++ b/libs/http/test/server_test.cpp
@@ -0,0 +1,289 @@
+#include "dandelioncrank/http/client_connection.hpp"
+#include "dandelioncrank/http/http_server.hpp"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+
+#include <catch2/catch.hpp>
+
+using namespace dandelioncrank;
+using namespace std::chrono_literals;
+
+namespace {
+
+const host_port any_port{"127.0.0.1", 0};
+
+QCoreApplication& application()
+{
+    static int count = 1;
+    static char name[] = "test";
+    static char* words[] = {name, nullptr};
+    static QCoreApplication instance(count, words);
+    return instance;
+}
+
+/// Runs the event loop until the condition holds; fails after a generous
+/// bound that only a hang reaches.
+template <class Condition>
+void run_until(Condition holds)
+{
+    application();
+    instant give_up = steady_now() + 60s;
+    while (!holds() && steady_now() < give_up)
+        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 100);
+    REQUIRE(holds());
+}
+
+/// Raw caller: writes bytes, collects everything that comes back.
+struct raw_caller
+{
+    explicit raw_caller(int port)
+    {
+        application();
+        socket_.on_input_end_ = [this] { ended_ = true; };
+        socket_.on_broken_ = [this](const std::string&) { ended_ = true; };
+        socket_.connect_to({"127.0.0.1", port});
+    }
+
+    std::string exchange(const std::string& bytes)
+    {
+        socket_.write(bytes);
+        run_until([this] { return ended_; });
+        return socket_.input();
+    }
+
+    tcp_socket socket_;
+    bool ended_ = false;
+};
+
+/// Endpoint that answers a connection with fixed bytes and closes.
+struct raw_endpoint
+{
+    explicit raw_endpoint(std::string answer)
+        : answer_(std::move(answer)), listener_(any_port, [this](int fd) {
+              sockets_.push_back(std::make_unique<tcp_socket>());
+              tcp_socket* socket = sockets_.back().get();
+              socket->on_input_ = [this, socket] {
+                  socket->input().clear();
+                  socket->write(answer_);
+                  socket->finish_writing();
+              };
+              socket->adopt(fd);
+          })
+    {
+    }
+
+    std::string answer_;
+    std::vector<std::unique_ptr<tcp_socket>> sockets_;
+    tcp_listener listener_;
+};
+
+http_server::handler echo()
+{
+    return [](http_request request, const std::shared_ptr<responder>& reply) {
+        http_response response;
+        response.body_ = request.target_ + request.body_;
+        (*reply)(std::move(response));
+    };
+}
+
+std::string get(const std::string& target, const std::string& more = "")
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: x\r\n" + more + "\r\n";
+}
+
+client_outcome fetch(int port, const http_request& request)
+{
+    application();
+    client_connection connection({"127.0.0.1", port}, {});
+    std::optional<client_outcome> outcome;
+    connection.send(request, 30s,
+                    [&](client_outcome result) { outcome = result; });
+    CHECK_FALSE(outcome);
+    run_until([&] { return outcome.has_value(); });
+    return *outcome;
+}
+
+std::size_t count_of(const std::string& text, const std::string& part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != text.npos;
+         at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("pipelined requests are answered in their order", "[server]")
+{
+    application();
+    // The first answer is held back until the second request could run.
+    std::vector<std::pair<std::string, std::shared_ptr<responder>>> held;
+    http_server server(any_port, {}, [&](http_request request, auto& reply) {
+        held.emplace_back(request.target_, reply);
+    });
+    raw_caller caller(server.port());
+    caller.socket_.write(get("/slow") + get("/fast", "Connection: close\r\n"));
+    run_until([&] { return held.size() == 1; });
+    CHECK(held[0].first == "/slow");
+    http_response slow;
+    slow.body_ = "slow";
+    (*held[0].second)(slow);
+    run_until([&] { return held.size() == 2; });
+    http_response fast;
+    fast.body_ = "fast";
+    (*held[1].second)(fast);
+    run_until([&] { return caller.ended_; });
+    const std::string& all = caller.socket_.input();
+    CHECK(all.find("slow") < all.find("fast"));
+    CHECK(count_of(all, "HTTP/1.1 200") == 2);
+}
+
+TEST_CASE("a half-closed caller still gets its answer", "[server]")
+{
+    application();
+    std::shared_ptr<responder> held;
+    http_server server(any_port, {},
+                       [&](http_request, auto& reply) { held = reply; });
+    raw_caller caller(server.port());
+    caller.socket_.write(get("/x"));
+    caller.socket_.finish_writing();
+    run_until([&] { return held != nullptr; });
+    // Lets the server read the end of the input before the answer.
+    for (int i = 0; i < 20; ++i)
+        QCoreApplication::processEvents();
+    http_response answer;
+    answer.body_ = "whole";
+    (*held)(answer);
+    run_until([&] { return caller.ended_; });
+    CHECK(caller.socket_.input().find("whole") != std::string::npos);
+}
+
+TEST_CASE("bad input gets a status and the server stays up", "[server]")
+{
+    application();
+    http_limits limits;
+    limits.body_bytes_ = 1000;
+    http_server server(any_port, limits, echo());
+    auto status = [&](const std::string& bytes) {
+        raw_caller caller(server.port());
+        return caller.exchange(bytes).substr(9, 3);
+    };
+    CHECK(status("nonsense\r\n\r\n") == "400");
+    CHECK(status(get("/", "A: " + std::string(3'000'000, 'a') + "\r\n")) ==
+          "431");
+    CHECK(status("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n" +
+                 std::string(5000, 'b')) == "413");
+    CHECK(status("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n") == "400");
+    CHECK(status(get("/ok", "Connection: close\r\n")) == "200");
+}
+
+TEST_CASE("a slow sender is told so", "[server]")
+{
+    application();
+    http_limits limits;
+    limits.header_time_ = 30ms;
+    http_server server(any_port, limits, echo());
+    raw_caller caller(server.port());
+    CHECK(caller.exchange("GET / HT").find(" 408 ") != std::string::npos);
+}
+
+TEST_CASE("a stopping server answers what is in flight", "[server]")
+{
+    application();
+    std::shared_ptr<responder> held;
+    http_server server(any_port, {},
+                       [&](http_request, auto& reply) { held = reply; });
+    raw_caller caller(server.port());
+    caller.socket_.write(get("/x"));
+    run_until([&] { return held != nullptr; });
+    server.stop_accepting();
+    CHECK(server.requests_in_flight() == 1);
+    http_response answer;
+    answer.body_ = "done";
+    (*held)(answer);
+    run_until([&] { return caller.ended_; });
+    CHECK(caller.socket_.input().find("done") != std::string::npos);
+    run_until([&] { return server.connections() == 0; });
+}
+
+TEST_CASE("a caller that goes away leaves the server up", "[server]")
+{
+    application();
+    std::shared_ptr<responder> held;
+    http_server server(any_port, {},
+                       [&](http_request, auto& reply) { held = reply; });
+    auto caller = std::make_unique<raw_caller>(server.port());
+    caller->socket_.write(get("/x"));
+    run_until([&] { return held != nullptr; });
+    caller.reset();
+    http_response answer;
+    answer.body_ = std::string(1 << 22, 'x');
+    (*held)(answer);
+    run_until([&] { return server.connections() == 0; });
+}
+
+TEST_CASE("an answer that was cut short is never whole", "[client]")
+{
+    std::string ok = "HTTP/1.1 200 OK\r\n";
+    for (const std::string& answer :
+         {std::string(), ok, ok + "Content-Length: 9\r\n\r\nshort",
+          ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+          ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+          ok + "\r\nuntil the close",
+          ok + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc"}) {
+        application();
+        raw_endpoint endpoint(answer);
+        auto outcome = fetch(endpoint.listener_.port(), {});
+        INFO(answer);
+        CHECK(std::holds_alternative<request_broken>(outcome));
+    }
+}
+
+TEST_CASE("a request that reached nobody was not sent", "[client]")
+{
+    application();
+    int port = 0;
+    {
+        tcp_listener gone(any_port, [](int) {});
+        port = gone.port();
+    }
+    CHECK(std::holds_alternative<request_not_sent>(fetch(port, {})));
+}
+
+TEST_CASE("a POST is sent once when the endpoint closes unread", "[client]")
+{
+    raw_endpoint endpoint("");
+    http_request request;
+    request.method_ = "POST";
+    request.headers_.add("Host", "x");
+    request.body_ = "once";
+    auto outcome = fetch(endpoint.listener_.port(), request);
+    CHECK(std::holds_alternative<request_broken>(outcome));
+    for (int i = 0; i < 50; ++i)
+        QCoreApplication::processEvents();
+    CHECK(endpoint.sockets_.size() == 1);
+}
+
+TEST_CASE("a connection serves several requests", "[client]")
+{
+    application();
+    http_server server(any_port, {}, echo());
+    client_connection connection({"127.0.0.1", server.port()}, {});
+    for (int i = 0; i < 3; ++i) {
+        http_request request;
+        request.target_ = "/" + std::to_string(i);
+        request.headers_.add("Host", "x");
+        std::optional<client_outcome> outcome;
+        connection.send(request, 30s,
+                        [&](client_outcome result) { outcome = result; });
+        run_until([&] { return outcome.has_value(); });
+        REQUIRE(std::holds_alternative<request_answered>(*outcome));
+        CHECK(std::get<request_answered>(*outcome).response_.body_ ==
+              request.target_);
+        CHECK(connection.is_reusable());
+    }
+    CHECK(server.connections() == 1);
+}
--- /dev/null
+++ b/libs/routing/include/dandelioncrank/routing/dispatcher.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "dandelioncrank/routing/service_dispatcher.hpp"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace dandelioncrank {
+
+/// Routing decisions of one entry host for the services that it owns in its
+/// availability zone. Pure: events with the time in, actions out.
+class dispatcher
+{
+  public:
+    dispatcher(queue_policy policy, std::uint64_t seed);
+
+    /// Takes a new configuration; services that left it refuse requests.
+    void configure(const configuration& rules);
+
+    /// Starts to serve a service that another host served until now.
+    void take_over(const service_name& service, instant hold_until);
+
+    [[nodiscard]] std::vector<routing_action> handle(const routing_event& event,
+                                                     instant now);
+
+    [[nodiscard]] std::vector<service_summary> summaries(instant now) const;
+
+  private:
+    service_dispatcher* find(const service_name& name);
+    service_dispatcher* find_owner(const ticket_id& id);
+
+    queue_policy policy_;
+    std::uint64_t seed_;
+    configuration rules_;
+    std::map<service_name, std::unique_ptr<service_dispatcher>> services_;
+    std::map<ticket_id, service_name> tickets_;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/routing/include/dandelioncrank/routing/service_dispatcher.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "dandelioncrank/manifest/configuration.hpp"
+#include "dandelioncrank/routing/endpoint_health.hpp"
+#include "dandelioncrank/routing/fair_queue.hpp"
+#include "dandelioncrank/routing/retry_budget.hpp"
+#include "dandelioncrank/routing/run_time_model.hpp"
+
+#include <map>
+#include <random>
+#include <vector>
+
+namespace dandelioncrank {
+
+/// Queue discipline: the production one, or the baseline for benchmarks.
+enum class queue_policy
+{
+    protect_short_work,
+    first_in_first_out
+};
+
+/// What a dispatcher shows of one service.
+struct service_summary
+{
+    service_name service_;
+    std::size_t endpoints_ = 0;
+    std::size_t held_back_ = 0;
+    std::size_t waiting_ = 0;
+    std::size_t in_flight_ = 0;
+    std::size_t slots_ = 0;
+};
+
+/// Gives the slots of one service's endpoints in one zone to requests.
+///
+/// It is the only one to do so, so an endpoint never has more requests in
+/// flight than it has slots, whatever number of entry hosts there is.
+class service_dispatcher
+{
+  public:
+    using actions = std::vector<routing_action>;
+    using team_table = std::map<team_name, team_rule>;
+
+    service_dispatcher(service_rule rule, queue_policy policy,
+                       std::uint64_t seed);
+
+    void set_rule(service_rule rule);
+
+    /// Until that time requests wait, while entry hosts report the slots
+    /// that a previous dispatcher gave them.
+    void hold_until(instant when) { hold_until_ = when; }
+
+    void submit(ticket request, const team_table& teams, instant now,
+                actions& out);
+    void withdraw(const ticket_id& id, instant now, actions& out);
+    void return_slot(const slot_returned& event, instant now, actions& out);
+    void report_slot(const slot_reported& event, instant now);
+    void announce(const endpoint_info& info, instant now, actions& out);
+    void remove(const endpoint_name& name, instant now, actions& out);
+    void lose_host(const host_name& host, instant now);
+    void tick(instant now, actions& out);
+
+    [[nodiscard]] bool has_serving_endpoint() const;
+    [[nodiscard]] bool is_idle() const;
+    [[nodiscard]] service_summary summary(instant now) const;
+
+  private:
+    struct endpoint_state
+    {
+        endpoint_info info_;
+        endpoint_health health_;
+        int in_flight_ = 0;
+        instant expires_;
+        bool gone_ = false;
+    };
+
+    struct slot_use
+    {
+        endpoint_name endpoint_;
+        std::string route_;
+        work_class class_ = work_class::short_work;
+        instant since_;
+        bool overdue_counted_ = false;
+        /// Set when the entry host was lost.
+        std::optional<instant> ends_at_;
+    };
+
+    [[nodiscard]] work_class class_of(const ticket& request) const;
+    [[nodiscard]] int usable_slots(instant now) const;
+    [[nodiscard]] int long_slot_limit(instant now) const;
+    [[nodiscard]] duration estimate_wait(const ticket& request, int weight,
+                                         instant now) const;
+    /// Whether this endpoint may be held back, seen from all the others.
+    [[nodiscard]] bool may_punish(const endpoint_name& name, instant now) const;
+    [[nodiscard]] std::optional<refusal_reason>
+    admission_fault(const ticket& request, const team_rule& team,
+                    instant now) const;
+    [[nodiscard]] endpoint_state* choose_endpoint(const ticket& request,
+                                                  instant now);
+    [[nodiscard]] std::optional<work_class> next_class(instant now) const;
+    void refuse(const ticket& request, refusal_reason reason, instant now,
+                actions& out) const;
+    void grant_waiting(instant now, actions& out);
+    bool grant(waiting_ticket& item, work_class which, instant now,
+               actions& out);
+    void release(const ticket_id& id, slot_outcome outcome, duration run_time,
+                 instant now, actions& out);
+    void forget_if_gone(const endpoint_name& name);
+    void refuse_expired(instant now, actions& out);
+    void note_overdue(instant now);
+    void check_invariants() const;
+
+    fair_queue& queue(work_class which);
+    [[nodiscard]] const fair_queue& queue(work_class which) const;
+
+    service_rule rule_;
+    queue_policy policy_;
+    std::mt19937_64 random_;
+    std::map<endpoint_name, endpoint_state> endpoints_;
+    std::map<ticket_id, slot_use> uses_;
+    fair_queue short_queue_;
+    fair_queue long_queue_;
+    run_time_model model_;
+    retry_budget retries_;
+    instant hold_until_{};
+    int long_in_flight_ = 0;
+    /// Share of the slots that short work has taken lately.
+    double short_load_ = 0;
+    instant load_measured_at_{};
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/routing/src/endpoint_health.cpp
@@ -0,0 +1,115 @@
+#include "dandelioncrank/routing/endpoint_health.hpp"
+
+#include <algorithm>
+
+namespace dandelioncrank {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int eject_after_failures = 3;
+constexpr int min_uses = 10;
+constexpr double eject_failure_rate = 0.5;
+constexpr double smoothing = 0.2;
+constexpr double slow_factor = 4.0;
+constexpr duration first_ejection = 2s;
+constexpr duration longest_ejection = 60s;
+// Clean uses after which earlier ejections are forgotten.
+constexpr int max_ejection_doublings = 5;
+
+} // namespace
+
+endpoint_health::endpoint_health(int slots) : slots_(slots), allowed_(slots) {}
+
+void endpoint_health::set_slots(int slots)
+{
+    if (allowed_ >= slots_)
+        allowed_ = slots;
+    slots_ = slots;
+    allowed_ = std::clamp(allowed_, 1, std::max(1, slots_));
+}
+
+duration endpoint_health::record(slot_outcome outcome, duration run_time,
+                                 duration expected, bool may_punish,
+                                 instant now)
+{
+    if (outcome == slot_outcome::unused)
+        return duration::zero();
+    ++uses_;
+    // A refusal says that the endpoint is full, not that it is sick, but it
+    // must not attract traffic by answering quickly.
+    bool failed = outcome != slot_outcome::succeeded;
+    failure_rate_ += smoothing * ((failed ? 1.0 : 0.0) - failure_rate_);
+    if (failed) {
+        punish_failure(may_punish);
+        bool eject_now = may_punish && should_eject() && !is_ejected(now);
+        return eject_now ? eject(now) : duration::zero();
+    }
+    failures_in_row_ = 0;
+    if (expected > duration::zero()) {
+        double ratio = static_cast<double>(run_time.count()) /
+                       static_cast<double>(expected.count());
+        slowness_ += smoothing * (std::min(ratio, 50.0) - slowness_);
+    }
+    if (slowness_ > slow_factor && may_punish) {
+        allowed_ = 1;
+        return duration::zero();
+    }
+    if (slowness_ <= slow_factor && allowed_ < slots_)
+        ++allowed_;
+    if (allowed_ >= slots_ && failure_rate_ < 0.05)
+        ejections_ = 0;
+    return duration::zero();
+}
+
+void endpoint_health::record_overdue(double times_expected, bool may_punish)
+{
+    slowness_ += smoothing * (std::min(times_expected, 50.0) - slowness_);
+    if (slowness_ > slow_factor && may_punish)
+        allowed_ = 1;
+}
+
+void endpoint_health::punish_failure(bool may_punish)
+{
+    ++failures_in_row_;
+    if (may_punish)
+        allowed_ = std::max(1, allowed_ / 2);
+}
+
+bool endpoint_health::should_eject() const
+{
+    return failures_in_row_ >= eject_after_failures ||
+           (uses_ >= min_uses && failure_rate_ > eject_failure_rate);
+}
+
+duration endpoint_health::eject(instant now)
+{
+    int doublings = std::min(ejections_, max_ejection_doublings);
+    duration length =
+        std::min(longest_ejection, first_ejection * (1 << doublings));
+    ++ejections_;
+    failures_in_row_ = 0;
+    failure_rate_ = 0;
+    uses_ = 0;
+    allowed_ = 1;
+    ejected_until_ = now + length;
+    return length;
+}
+
+int endpoint_health::allowed_slots(instant now) const
+{
+    return is_ejected(now) ? 0 : allowed_;
+}
+
+bool endpoint_health::is_ejected(instant now) const
+{
+    return now < ejected_until_;
+}
+
+bool endpoint_health::is_held_back(instant now) const
+{
+    return is_ejected(now) || allowed_ * 2 < slots_;
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/routing/src/run_time_model.cpp
@@ -0,0 +1,81 @@
+#include "dandelioncrank/routing/run_time_model.hpp"
+
+#include <algorithm>
+
+namespace dandelioncrank {
+
+namespace {
+
+constexpr double long_factor = 4.0;
+constexpr double smoothing = 0.05;
+constexpr double middle_step = 0.05;
+constexpr std::size_t min_route_samples = 2;
+
+void move_mean(double& mean, std::size_t& samples, double value)
+{
+    ++samples;
+    // The plain mean at first, then an exponential one.
+    double weight = std::max(smoothing, 1.0 / static_cast<double>(samples));
+    mean += weight * (value - mean);
+}
+
+duration to_duration(double microseconds)
+{
+    return duration(static_cast<duration::rep>(microseconds));
+}
+
+} // namespace
+
+void run_time_model::record(const std::string& route, duration run_time)
+{
+    auto value =
+        static_cast<double>(std::max<duration::rep>(1, run_time.count()));
+    ++samples_;
+    update_middle(value);
+    std::string key = routes_.size() < max_routes || routes_.contains(route)
+                          ? route
+                          : std::string();
+    route_average& entry = routes_[key];
+    move_mean(entry.mean_, entry.samples_, value);
+    auto which = static_cast<std::size_t>(classify(key));
+    move_mean(class_mean_[which], class_samples_[which], value);
+}
+
+// Moves by a fixed share of itself, so the estimate settles at the median.
+void run_time_model::update_middle(double value)
+{
+    if (middle_ == 0)
+        middle_ = value;
+    else if (value > middle_)
+        middle_ *= 1 + middle_step;
+    else if (value < middle_)
+        middle_ *= 1 - middle_step;
+}
+
+work_class run_time_model::classify(const std::string& route) const
+{
+    auto found = routes_.find(route);
+    bool is_known =
+        found != routes_.end() && found->second.samples_ >= min_route_samples;
+    if (!is_known || found->second.mean_ < long_factor * middle_)
+        return work_class::short_work;
+    return work_class::long_work;
+}
+
+duration run_time_model::expected(const std::string& route) const
+{
+    auto found = routes_.find(route);
+    if (found != routes_.end())
+        return to_duration(found->second.mean_);
+    return expected(work_class::short_work);
+}
+
+duration run_time_model::expected(work_class which) const
+{
+    auto index = static_cast<std::size_t>(which);
+    if (class_samples_[index] > 0)
+        return to_duration(class_mean_[index]);
+    return to_duration(middle_);
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/routing/test/fake_fleet.hpp
@@ -0,0 +1,360 @@
+#pragma once
+
+#include "dandelioncrank/routing/dispatcher.hpp"
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace dandelioncrank::test {
+
+/// One caller's request in a run.
+struct fake_request
+{
+    instant at_;
+    team_name team_;
+    std::string route_;
+    duration run_time_{};
+    duration deadline_ = std::chrono::seconds(60);
+    bool repeatable_ = true;
+};
+
+/// What became of it.
+struct request_record
+{
+    fake_request request_;
+    instant started_{};
+    instant ended_{};
+    fate fate_ = fate::not_run;
+    refusal_reason reason_ = refusal_reason::queue_full;
+    int runs_ = 0;
+    bool done_ = false;
+};
+
+/// How one endpoint misbehaves.
+struct endpoint_behaviour
+{
+    double slow_factor_ = 1.0;
+    bool fails_at_once_ = false;
+};
+
+struct fleet_options
+{
+    int endpoints_ = 50;
+    int slots_ = 8;
+    int entry_hosts_ = 7;
+    duration host_delay_ = std::chrono::microseconds(500);
+    duration endpoint_delay_ = std::chrono::microseconds(500);
+    duration queue_time_ = std::chrono::seconds(1);
+    int queue_limit_ = 100000;
+    queue_policy policy_ = queue_policy::protect_short_work;
+    std::uint64_t seed_ = 1;
+    std::map<int, endpoint_behaviour> behaviours_;
+};
+
+/// Entry hosts and endpoints around one real dispatcher, in virtual time.
+class fake_fleet
+{
+  public:
+    explicit fake_fleet(fleet_options options)
+        : options_(std::move(options)), random_(options_.seed_),
+          dispatcher_(options_.policy_, options_.seed_)
+    {
+        configuration rules;
+        service_rule rule;
+        rule.name_ = service_name("rota");
+        rule.queue_time_ = options_.queue_time_;
+        rule.queue_limit_ = options_.queue_limit_;
+        rules.services_.emplace(rule.name_, rule);
+        for (const char* name : {"a", "b", "c", "d"}) {
+            team_rule team;
+            team.name_ = team_name(name);
+            team.queued_requests_ = options_.queue_limit_;
+            rules.teams_.emplace(team.name_, team);
+        }
+        dispatcher_.configure(rules);
+        in_flight_.resize(static_cast<std::size_t>(options_.endpoints_));
+        renew_endpoints();
+        tick();
+    }
+
+    void submit(const fake_request& request)
+    {
+        std::size_t index = records_.size();
+        records_.push_back({request});
+        at(request.at_, [this, index] { send_ticket(index, 1, {}); });
+    }
+
+    /// Runs until every request has its fate.
+    void run()
+    {
+        while (open_ < records_.size() && now_ < longest_run)
+            step();
+        if (open_ < records_.size())
+            throw std::logic_error("a request never got its fate");
+    }
+
+    void at(instant when, std::function<void()> action)
+    {
+        events_.push({when, ++sequence_, std::move(action)});
+    }
+
+    /// Stops announcing an endpoint as serving.
+    void set_leaving(int endpoint, instant when)
+    {
+        at(when, [this, endpoint] {
+            leaving_.insert(endpoint);
+            feed(endpoint_announced{info(endpoint)});
+        });
+    }
+
+    void lose_host(int host, instant when)
+    {
+        at(when, [this, host] {
+            lost_hosts_.insert(host);
+            end_requests_of(host);
+            feed(host_lost{host_of(host)});
+        });
+    }
+
+    [[nodiscard]] const std::vector<request_record>& records() const
+    {
+        return records_;
+    }
+    [[nodiscard]] int most_in_flight() const { return most_in_flight_; }
+    [[nodiscard]] int starts_while_leaving() const { return late_starts_; }
+    [[nodiscard]] instant now() const { return now_; }
+
+  private:
+    static constexpr instant longest_run{std::chrono::hours(24)};
+
+    struct event
+    {
+        instant at_;
+        std::uint64_t sequence_;
+        std::function<void()> action_;
+
+        bool operator<(const event& other) const
+        {
+            return std::tie(other.at_, other.sequence_) <
+                   std::tie(at_, sequence_);
+        }
+    };
+
+    struct attempt
+    {
+        std::size_t record_;
+        int attempt_;
+        std::vector<endpoint_name> avoid_;
+    };
+
+    static host_name host_of(int index)
+    {
+        return host_name("h" + std::to_string(index));
+    }
+
+    [[nodiscard]] endpoint_info info(int index) const
+    {
+        endpoint_info result;
+        result.name_ = endpoint_name("e" + std::to_string(index));
+        result.service_ = service_name("rota");
+        result.slots_ = options_.slots_;
+        result.leaving_ = leaving_.contains(index);
+        result.time_to_live_ = std::chrono::hours(1);
+        return result;
+    }
+
+    void renew_endpoints()
+    {
+        for (int i = 0; i < options_.endpoints_; ++i)
+            feed(endpoint_announced{info(i)});
+    }
+
+    void tick()
+    {
+        feed(clock_ticked{});
+        at(now_ + std::chrono::milliseconds(10), [this] { tick(); });
+    }
+
+    void step()
+    {
+        event next = events_.top();
+        events_.pop();
+        now_ = next.at_;
+        next.action_();
+    }
+
+    duration jitter(duration delay)
+    {
+        auto part = static_cast<std::uint64_t>(delay.count() / 2 + 1);
+        return delay + duration(static_cast<duration::rep>(random_() % part));
+    }
+
+    void send_ticket(std::size_t index, int number,
+                     std::vector<endpoint_name> avoid)
+    {
+        const fake_request& request = records_[index].request_;
+        int host = static_cast<int>(index) % options_.entry_hosts_;
+        if (lost_hosts_.contains(host)) {
+            finish(index, fate::not_run);
+            return;
+        }
+        ticket wanted;
+        wanted.id_ = {host_of(host), ++tickets_};
+        wanted.service_ = service_name("rota");
+        wanted.team_ = request.team_;
+        wanted.route_ = request.route_;
+        wanted.deadline_ = request.at_ + request.deadline_;
+        wanted.attempt_ = number;
+        wanted.avoid_ = avoid;
+        attempts_[wanted.id_] = {index, number, std::move(avoid)};
+        at(now_ + jitter(options_.host_delay_),
+           [this, wanted] { feed(ticket_submitted{wanted}); });
+    }
+
+    // Its callers lose their connections: what ran is unknown to them.
+    void end_requests_of(int host)
+    {
+        for (auto& [id, tried] : attempts_) {
+            request_record& record = records_[tried.record_];
+            if (id.host_ != host_of(host) || record.done_)
+                continue;
+            bool ran = record.runs_ > 0;
+            finish(tried.record_, ran ? fate::unknown : fate::not_run);
+        }
+    }
+
+    void feed(const routing_event& event)
+    {
+        for (const routing_action& action : dispatcher_.handle(event, now_)) {
+            if (const auto* granted = std::get_if<slot_granted>(&action))
+                deliver_grant(*granted);
+            if (const auto* refused = std::get_if<ticket_refused>(&action))
+                deliver_refusal(*refused);
+        }
+    }
+
+    void deliver_refusal(const ticket_refused& refused)
+    {
+        at(now_ + jitter(options_.host_delay_), [this, refused] {
+            auto found = attempts_.find(refused.id_);
+            bool gone = found == attempts_.end() ||
+                        records_[found->second.record_].done_;
+            if (gone)
+                return;
+            attempt tried = found->second;
+            attempts_.erase(found);
+            request_record& record = records_[tried.record_];
+            record.reason_ = refused.reason_;
+            // A refused retry leaves the fate of the first try.
+            finish(tried.record_,
+                   tried.attempt_ > 1 ? fate::unknown : fate::not_run);
+        });
+    }
+
+    void deliver_grant(const slot_granted& granted)
+    {
+        int endpoint = std::stoi(granted.endpoint_.str().substr(1));
+        duration delay =
+            jitter(options_.host_delay_) + jitter(options_.endpoint_delay_);
+        at(now_ + delay,
+           [this, granted, endpoint] { start(granted, endpoint); });
+    }
+
+    void start(const slot_granted& granted, int endpoint)
+    {
+        attempt tried = attempts_.at(granted.id_);
+        if (records_[tried.record_].done_)
+            return;
+        auto place = static_cast<std::size_t>(endpoint);
+        ++in_flight_[place];
+        most_in_flight_ = std::max(most_in_flight_, in_flight_[place]);
+        late_starts_ += leaving_.contains(endpoint);
+        request_record& record = records_[tried.record_];
+        if (record.runs_++ == 0)
+            record.started_ = now_;
+        endpoint_behaviour behaviour;
+        auto found = options_.behaviours_.find(endpoint);
+        if (found != options_.behaviours_.end())
+            behaviour = found->second;
+        duration length = record.request_.run_time_;
+        if (behaviour.fails_at_once_)
+            length = std::chrono::milliseconds(1);
+        else
+            length = duration(static_cast<duration::rep>(
+                static_cast<double>(length.count()) * behaviour.slow_factor_));
+        bool fails = behaviour.fails_at_once_;
+        at(now_ + length, [this, granted, endpoint, length, fails] {
+            end(granted, endpoint, length, fails);
+        });
+    }
+
+    void end(const slot_granted& granted, int endpoint, duration length,
+             bool fails)
+    {
+        --in_flight_[static_cast<std::size_t>(endpoint)];
+        attempt tried = attempts_.at(granted.id_);
+        attempts_.erase(granted.id_);
+        if (records_[tried.record_].done_)
+            return;
+        duration back = jitter(options_.endpoint_delay_);
+        slot_returned done{
+            granted.id_, fails ? slot_outcome::failed : slot_outcome::succeeded,
+            length};
+        at(now_ + back + jitter(options_.host_delay_),
+           [this, done] { feed(done); });
+        at(now_ + back, [this, tried, granted, fails] {
+            if (records_[tried.record_].done_)
+                return;
+            bool retry = fails && tried.attempt_ < 3 &&
+                         records_[tried.record_].request_.repeatable_;
+            if (!retry) {
+                finish(tried.record_, fails ? fate::unknown : fate::completed);
+                return;
+            }
+            auto avoid = tried.avoid_;
+            avoid.push_back(granted.endpoint_);
+            send_ticket(tried.record_, tried.attempt_ + 1, avoid);
+        });
+    }
+
+    void finish(std::size_t index, fate result)
+    {
+        request_record& record = records_[index];
+        require_single(record);
+        record.fate_ = result;
+        record.ended_ = now_;
+        record.done_ = true;
+        ++open_;
+    }
+
+    static void require_single(const request_record& record)
+    {
+        if (record.done_)
+            throw std::logic_error("a request has two fates");
+    }
+
+    fleet_options options_;
+    std::mt19937_64 random_;
+    dispatcher dispatcher_;
+    std::priority_queue<event> events_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t tickets_ = 0;
+    instant now_{};
+    std::vector<request_record> records_;
+    std::map<ticket_id, attempt> attempts_;
+    std::vector<int> in_flight_;
+    std::set<int> leaving_;
+    std::set<int> lost_hosts_;
+    std::size_t open_ = 0;
+    int most_in_flight_ = 0;
+    int late_starts_ = 0;
+};
+
+} // namespace dandelioncrank::test
