--- /dev/null
+++ b/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
@@ -0,0 +1,245 @@
+#pragma once
+
+#include "dandelioncrank/scheduling/guarantee_ledger.hpp"
+#include "dandelioncrank/scheduling/job_queue.hpp"
+#include "dandelioncrank/scheduling/placement.hpp"
+#include "dandelioncrank/scheduling/scheduling_types.hpp"
+#include "dandelioncrank/scheduling/worker_pool.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace dandelioncrank {
+
+struct gang;
+struct gang_part;
+enum class stop_cause;
+class gang_driver;
+class worker_evidence;
+
+struct scheduler_options
+{
+    zone_name zone_;
+    /// Ownership of the zone's workers; each new owner has a higher one.
+    std::uint64_t epoch_ = 1;
+    order_policy order_ = order_policy::attained_service;
+    placement_policy placement_ = placement_policy::best_fit;
+    /// A worker stops its tasks when its reports go unanswered that long,
+    /// and is taken for lost after the same time and a margin.
+    duration lease_ = std::chrono::seconds(10);
+    /// After a start, reports are awaited for one lease before any job
+    /// starts, because tasks of an earlier owner may still run.
+    bool wait_for_reports_ = true;
+    /// Preempt, swap and move borrowed work; off for baselines.
+    bool preempt_ = true;
+    /// Later jobs may start while an earlier one does not fit.
+    bool backfill_ = true;
+};
+
+/// One team as `team show` prints it; counts are accelerators.
+struct team_view
+{
+    team_name name_;
+    int guaranteed_ = 0;
+    int used_ = 0;
+    int borrowed_ = 0;
+    /// What the team could get back now by preempting others.
+    int reclaimable_ = 0;
+    int short_ = 0;
+    std::size_t waiting_ = 0;
+    /// Longest time that a reclaim would take now.
+    duration reclaim_time_{};
+};
+
+struct job_view
+{
+    job_record record_;
+    duration waited_{};
+    /// The constraint that binds, in one line.
+    std::string why_;
+    std::vector<worker_name> workers_;
+};
+
+struct pool_summary
+{
+    std::size_t workers_ = 0;
+    std::size_t alive_ = 0;
+    std::size_t quarantined_ = 0;
+    int accelerators_ = 0;
+    int free_ = 0;
+    std::size_t waiting_ = 0;
+    std::size_t gangs_ = 0;
+    bool recovering_ = false;
+};
+
+/// Scheduler of one availability zone. Pure: events with the time in,
+/// actions out; no thread, clock, socket or file.
+class zone_scheduler
+{
+  public:
+    explicit zone_scheduler(scheduler_options options);
+    ~zone_scheduler();
+
+    zone_scheduler(const zone_scheduler&) = delete;
+    zone_scheduler& operator=(const zone_scheduler&) = delete;
+
+    void configure(const configuration& rules, instant now);
+
+    [[nodiscard]] scheduling_actions handle(const scheduling_event& event,
+                                            instant now);
+
+    /// Commands that the worker has not yet carried out, oldest first.
+    [[nodiscard]] const std::deque<worker_command>&
+    commands_for(const worker_name& worker) const;
+
+    [[nodiscard]] std::vector<team_view> teams(instant now) const;
+    [[nodiscard]] std::optional<job_view> job(const job_id& id,
+                                              instant now) const;
+    [[nodiscard]] std::vector<job_view> jobs(instant now) const;
+    [[nodiscard]] pool_summary summary() const;
+    [[nodiscard]] const worker_pool& pool() const { return pool_; }
+    [[nodiscard]] const guarantee_ledger& guarantees() const { return ledger_; }
+
+    /// Checks every invariant over the whole pool; for tests and dumps.
+    void check_invariants() const;
+
+  private:
+    struct job_entry
+    {
+        job_record record_;
+        instant arrived_at_{};
+        instant queued_at_{};
+        duration attained_{};
+        std::optional<gang_key> gang_;
+        /// Not to be tried before this time.
+        instant not_before_{};
+        /// Since when only accelerators kept for others could hold it.
+        std::optional<instant> unfit_since_;
+        bool cancel_wanted_ = false;
+        int failures_ = 0;
+        std::set<worker_index> failed_on_;
+    };
+
+    struct orphan
+    {
+        worker_index worker_ = 0;
+        int accelerators_ = 0;
+        std::uint64_t command_ = 0;
+    };
+
+    using action_list = scheduling_actions;
+
+    // Events.
+    void submit(const job_spec& spec, instant now, action_list& out);
+    void cancel(const job_id& id, instant now, action_list& out);
+    void recover(const job_record& record, instant now);
+    void take_report(const worker_report& report, instant now,
+                     action_list& out);
+    void take_start_record(const gang_key& key, instant now, action_list& out);
+    void tick(instant now, action_list& out);
+
+    // Admission.
+    [[nodiscard]] std::string refusal(const job_spec& spec) const;
+    [[nodiscard]] bool fits_pool(const job_spec& spec) const;
+    /// Whether a job that may run once fits beside the guarantees of others
+    /// or inside its own team's.
+    [[nodiscard]] bool fits_for_good(const job_spec& spec) const;
+    [[nodiscard]] bool
+    fits_in_rooms(const job_spec& spec,
+                  const std::function<int(const pool_worker&)>& room) const;
+    void give_up_on_unfit(instant now, action_list& out);
+
+    // Workers.
+    void greet_worker(worker_index index, const worker_report& report,
+                      instant now, action_list& out);
+    void lose_worker(worker_index index, instant now, action_list& out);
+    void withdraw_worker(worker_index index, instant now, action_list& out);
+    void take_parts(worker_index index, const worker_report& report,
+                    instant now, action_list& out);
+    void take_unknown_parts(worker_index index, const worker_report& report,
+                            instant now, action_list& out);
+    bool adopt_part(worker_index index, const reported_part& part, instant now);
+    void clear_orphans(worker_index index, const worker_report& report);
+    void forget_orphans(worker_index index);
+    void expire_leases(instant now, action_list& out);
+    void judge_worker(worker_index index, instant now, action_list& out);
+    void end_quarantines(instant now);
+    void restore_terms(gang& item);
+    void end_recovery(instant now, action_list& out);
+
+    // Gangs.
+    void start_gang(job_entry& job, const placement_plan& plan, tenure terms,
+                    const std::vector<std::size_t>& blocks, instant now,
+                    action_list& out);
+    void update_gang(gang& item, instant now, action_list& out);
+    void stop_gang(gang& item, stop_cause cause, instant now, action_list& out);
+    void release_part(gang& item, gang_part& part);
+    void demote_gang(gang& item);
+    void finish_gang(gang& item, instant now, action_list& out);
+    void settle_job(job_entry& job, const gang& item, instant now,
+                    action_list& out);
+    void watch_gangs(instant now, action_list& out);
+    [[nodiscard]] bool has_unanswered_command(const gang& item,
+                                              instant now) const;
+    void suspect_silent_workers(const gang& item, instant now);
+
+    // Job records.
+    void set_state(job_entry& job, job_state state, const std::string& reason,
+                   action_list& out);
+    void end_job(job_entry& job, job_state state, const std::string& reason,
+                 action_list& out);
+    void requeue(job_entry& job, instant now, action_list& out);
+
+    // Scheduling passes.
+    void run_pass(instant now, action_list& out);
+    void pass_guaranteed(instant now, action_list& out);
+    void pass_borrowed(instant now, action_list& out);
+    bool try_guaranteed(job_entry& job, instant now, action_list& out);
+    bool try_borrowed(job_entry& job, const placer& places, instant now,
+                      action_list& out);
+    bool preempt_for(const std::map<worker_index, int>& needs, instant now,
+                     action_list& out);
+    void rescue_starving(instant now, action_list& out);
+    bool rescue(job_entry& job, instant now, action_list& out);
+    void swap_for_shorter(instant now, action_list& out);
+    bool swap_for(job_entry& job, instant now, action_list& out);
+    bool preempt_until_fits(job_entry& job,
+                            const std::vector<const gang*>& candidates,
+                            instant now, action_list& out);
+    [[nodiscard]] std::string binding_constraint(const job_entry& job) const;
+    [[nodiscard]] std::string what_it_waits_for(const gang& item) const;
+
+    scheduler_options options_;
+    configuration rules_;
+    worker_pool pool_;
+    guarantee_ledger ledger_;
+    job_queue queue_;
+    std::unique_ptr<gang_driver> driver_;
+    std::unique_ptr<worker_evidence> evidence_;
+    std::map<gang_key, gang> gangs_;
+    /// Gangs that are neither running quietly nor gone.
+    std::set<gang_key> unsettled_;
+    std::unordered_map<job_id, job_entry> jobs_;
+    std::map<gang_key, std::vector<orphan>> orphans_;
+    std::set<std::pair<instant, worker_index>> by_report_;
+    std::map<worker_index, instant> quarantine_ends_;
+    bool recovery_pending_ = false;
+    std::optional<instant> recovering_until_;
+    instant last_repack_{};
+    bool pass_wanted_ = false;
+    bool urgent_waiting_ = false;
+    bool ledger_dirty_ = false;
+    instant last_pass_{};
+    instant last_rescue_{};
+    instant last_swap_{};
+    instant last_unfit_check_{};
+    /// Times at which jobs that wait after a failure may be tried again.
+    std::multiset<instant> wake_ups_;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/scheduling/src/gang.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "dandelioncrank/scheduling/worker_pool.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace dandelioncrank {
+
+enum class gang_phase
+{
+    acquiring,
+    starting,
+    running,
+    stopping
+};
+
+/// Why a gang is being stopped.
+enum class stop_cause
+{
+    none,
+    finished,
+    cancelled,
+    preempted,
+    member_lost,
+    task_failed,
+    hold_refused,
+    hold_timeout
+};
+
+/// How far one worker's part of a gang is.
+enum class part_phase
+{
+    /// The accelerators are promised, but others still have them.
+    waiting,
+    hold_sent,
+    held,
+    start_sent,
+    running,
+    checkpointed,
+    finished,
+    failed,
+    stop_sent,
+    /// Confirmed ended, or its lease has run out.
+    gone
+};
+
+struct gang_part
+{
+    worker_index worker_ = 0;
+    int tasks_ = 0;
+    /// Guaranteed block that it uses.
+    std::optional<std::size_t> block_;
+    part_phase phase_ = part_phase::waiting;
+    /// Number of the last command sent for this part.
+    std::uint64_t command_ = 0;
+    instant command_at_{};
+    instant since_{};
+    /// Its amount is counted as stopping on the worker.
+    bool counted_stopping_ = false;
+    /// Its amount was given back to the pool.
+    bool released_ = false;
+
+    [[nodiscard]] bool has_room() const
+    {
+        return phase_ != part_phase::waiting && phase_ != part_phase::gone;
+    }
+};
+
+/// One try at running a job, on all its workers.
+struct gang
+{
+    gang_key key_;
+    job_spec spec_;
+    tenure terms_ = tenure::borrowed;
+    gang_phase phase_ = gang_phase::acquiring;
+    stop_cause cause_ = stop_cause::none;
+    std::vector<gang_part> parts_;
+    instant created_at_{};
+    instant running_since_{};
+    /// A start was sent to some worker.
+    bool started_ = false;
+    /// A start may be sent: repeatable, or on record.
+    bool start_allowed_ = true;
+    bool claim_asked_ = false;
+    /// Known from reports after a restart of the scheduler only.
+    bool adopted_ = false;
+    bool checkpoint_wanted_ = false;
+    bool checkpoint_done_ = false;
+    instant checkpoint_deadline_{};
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/scheduling/src/gang_driver.cpp
@@ -0,0 +1,262 @@
+#include "gang_driver.hpp"
+
+#include <algorithm>
+
+namespace dandelioncrank {
+
+namespace {
+
+constexpr duration checkpoint_time = std::chrono::milliseconds(1500);
+
+bool all_in(const gang& item, std::initializer_list<part_phase> phases)
+{
+    return std::all_of(item.parts_.begin(), item.parts_.end(),
+                       [&](const gang_part& part) {
+                           return std::find(phases.begin(), phases.end(),
+                                            part.phase_) != phases.end();
+                       });
+}
+
+} // namespace
+
+gang_driver::gang_driver(worker_pool& pool, std::uint64_t epoch)
+    : pool_(pool), epoch_(epoch)
+{
+}
+
+resource_amount gang_driver::amount_of(const gang& item, const gang_part& part)
+{
+    return {part.tasks_ * item.spec_.accelerators_,
+            part.tasks_ * item.spec_.processors_,
+            part.tasks_ * item.spec_.memory_mb_};
+}
+
+void gang_driver::send(command_kind kind, gang& item, gang_part& part,
+                       instant now, scheduling_actions& out)
+{
+    worker_command command;
+    command.kind_ = kind;
+    command.epoch_ = epoch_;
+    command.gang_ = item.key_;
+    command.tasks_ = part.tasks_;
+    command.accelerators_ = item.spec_.accelerators_;
+    command.processors_ = item.spec_.processors_;
+    command.memory_mb_ = item.spec_.memory_mb_;
+    pool_.change(part.worker_, [&](pool_worker& worker) {
+        command.number_ = ++worker.last_command_;
+    });
+    part.command_ = command.number_;
+    part.command_at_ = now;
+    outboxes_[part.worker_].push_back(command);
+    out.push_back(command_issued{pool_.at(part.worker_).info_.name_, command});
+}
+
+// The only place where a part takes or gives back accelerators in fact.
+void gang_driver::enter(gang& item, gang_part& part, part_phase next,
+                        instant now)
+{
+    bool had = part.has_room();
+    part.phase_ = next;
+    part.since_ = now;
+    int change = static_cast<int>(part.has_room()) - static_cast<int>(had);
+    if (change == 0)
+        return;
+    int accelerators = amount_of(item, part).accelerators_;
+    pool_.change(part.worker_, [&](pool_worker& worker) {
+        worker.occupied_ += change * accelerators;
+    });
+}
+
+void gang_driver::advance(gang& item, instant now, scheduling_actions& out)
+{
+    switch (item.phase_) {
+    case gang_phase::acquiring:
+        send_holds(item, now, out);
+        send_starts(item, now, out);
+        break;
+    case gang_phase::starting:
+        if (all_in(item, {part_phase::running, part_phase::finished,
+                          part_phase::checkpointed})) {
+            item.phase_ = gang_phase::running;
+            item.running_since_ = now;
+        }
+        break;
+    case gang_phase::running:
+        break;
+    case gang_phase::stopping:
+        send_stops(item, now, out);
+        break;
+    }
+}
+
+void gang_driver::send_holds(gang& item, instant now, scheduling_actions& out)
+{
+    for (gang_part& part : item.parts_) {
+        const pool_worker& worker = pool_.at(part.worker_);
+        int need = amount_of(item, part).accelerators_;
+        bool ready = part.phase_ == part_phase::waiting && worker.alive_ &&
+                     worker.vacant() >= need;
+        if (!ready)
+            continue;
+        enter(item, part, part_phase::hold_sent, now);
+        send(command_kind::hold, item, part, now, out);
+    }
+}
+
+void gang_driver::send_starts(gang& item, instant now, scheduling_actions& out)
+{
+    if (!all_in(item, {part_phase::held}))
+        return;
+    if (!item.start_allowed_) {
+        if (!item.claim_asked_)
+            out.push_back(start_claim_wanted{item.key_});
+        item.claim_asked_ = true;
+        return;
+    }
+    item.phase_ = gang_phase::starting;
+    item.started_ = true;
+    for (gang_part& part : item.parts_) {
+        enter(item, part, part_phase::start_sent, now);
+        send(command_kind::start, item, part, now, out);
+    }
+}
+
+void gang_driver::stop(gang& item, stop_cause cause, bool checkpoint,
+                       instant now, scheduling_actions& out)
+{
+    if (item.phase_ == gang_phase::stopping)
+        return;
+    bool was_running = item.phase_ == gang_phase::running;
+    item.phase_ = gang_phase::stopping;
+    item.cause_ = cause;
+    for (gang_part& part : item.parts_) {
+        int accelerators = amount_of(item, part).accelerators_;
+        if (part.phase_ == part_phase::gone)
+            continue;
+        part.counted_stopping_ = true;
+        pool_.change(part.worker_, [&](pool_worker& worker) {
+            worker.stopping_ += accelerators;
+        });
+    }
+    item.checkpoint_wanted_ = checkpoint && was_running;
+    if (item.checkpoint_wanted_) {
+        item.checkpoint_deadline_ = now + checkpoint_time;
+        for (gang_part& part : item.parts_) {
+            if (part.phase_ == part_phase::running)
+                send(command_kind::checkpoint, item, part, now, out);
+        }
+    }
+    send_stops(item, now, out);
+}
+
+void gang_driver::send_stops(gang& item, instant now, scheduling_actions& out)
+{
+    if (item.checkpoint_wanted_) {
+        bool saved = all_in(item, {part_phase::checkpointed});
+        if (!saved && now < item.checkpoint_deadline_)
+            return;
+        item.checkpoint_done_ = saved;
+        item.checkpoint_wanted_ = false;
+    }
+    for (gang_part& part : item.parts_) {
+        if (part.phase_ == part_phase::waiting)
+            enter(item, part, part_phase::gone, now);
+        bool settled = part.phase_ == part_phase::gone ||
+                       part.phase_ == part_phase::stop_sent;
+        if (settled)
+            continue;
+        enter(item, part, part_phase::stop_sent, now);
+        send(command_kind::stop, item, part, now, out);
+    }
+}
+
+stop_cause gang_driver::apply(gang& item, gang_part& part,
+                              const reported_part* reported,
+                              std::uint64_t applied_command, instant now)
+{
+    bool applied = applied_command >= part.command_;
+    if (part.phase_ == part_phase::gone || part.phase_ == part_phase::waiting)
+        return stop_cause::none;
+    if (reported == nullptr) {
+        if (!applied)
+            return stop_cause::none;
+        bool expected = part.phase_ == part_phase::stop_sent;
+        enter(item, part, part_phase::gone, now);
+        return expected ? stop_cause::none : stop_cause::member_lost;
+    }
+    if (part.phase_ == part_phase::stop_sent)
+        return stop_cause::none;
+    switch (reported->state_) {
+    case part_state::held:
+        if (part.phase_ == part_phase::hold_sent)
+            enter(item, part, part_phase::held, now);
+        return stop_cause::none;
+    case part_state::running:
+        if (part.phase_ == part_phase::start_sent)
+            enter(item, part, part_phase::running, now);
+        return stop_cause::none;
+    case part_state::checkpointed:
+        enter(item, part, part_phase::checkpointed, now);
+        return stop_cause::none;
+    case part_state::finished:
+        enter(item, part, part_phase::finished, now);
+        return stop_cause::none;
+    case part_state::failed:
+        enter(item, part, part_phase::failed, now);
+        return stop_cause::task_failed;
+    case part_state::refused:
+        break;
+    }
+    return stop_cause::hold_refused;
+}
+
+void gang_driver::lose_part(gang& item, gang_part& part, instant now)
+{
+    enter(item, part, part_phase::gone, now);
+}
+
+std::uint64_t gang_driver::stop_orphan(worker_index worker, const gang_key& key,
+                                       scheduling_actions& out)
+{
+    worker_command command;
+    command.kind_ = command_kind::stop;
+    command.epoch_ = epoch_;
+    command.gang_ = key;
+    pool_.change(worker, [&](pool_worker& target) {
+        command.number_ = ++target.last_command_;
+    });
+    outboxes_[worker].push_back(command);
+    out.push_back(command_issued{pool_.at(worker).info_.name_, command});
+    return command.number_;
+}
+
+const std::deque<worker_command>& gang_driver::outbox(worker_index worker) const
+{
+    static const std::deque<worker_command> nothing;
+    auto found = outboxes_.find(worker);
+    return found == outboxes_.end() ? nothing : found->second;
+}
+
+void gang_driver::acknowledge(worker_index worker, std::uint64_t applied)
+{
+    auto found = outboxes_.find(worker);
+    if (found == outboxes_.end())
+        return;
+    auto& commands = found->second;
+    while (!commands.empty() && commands.front().number_ <= applied)
+        commands.pop_front();
+    if (commands.empty())
+        outboxes_.erase(found);
+}
+
+void gang_driver::clear_outbox(worker_index worker)
+{
+    outboxes_.erase(worker);
+}
+
+bool gang_driver::all_gone(const gang& item)
+{
+    return all_in(item, {part_phase::gone});
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/scheduling/src/gang_driver.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "gang.hpp"
+
+#include <deque>
+#include <map>
+
+namespace dandelioncrank {
+
+/// Drives gangs through hold, start, checkpoint and stop on their workers.
+///
+/// Commands to a worker are numbered and stay in its outbox until a report
+/// says that they were carried out, so a lost answer loses none.
+class gang_driver
+{
+  public:
+    gang_driver(worker_pool& pool, std::uint64_t epoch);
+
+    /// Sends what the gang's state calls for next.
+    void advance(gang& item, instant now, scheduling_actions& out);
+
+    /// Begins to stop every part; checkpoint first if asked for.
+    void stop(gang& item, stop_cause cause, bool checkpoint, instant now,
+              scheduling_actions& out);
+
+    /// Takes in what a worker says of a part. Returns the cause if the gang
+    /// has to be stopped because of it.
+    stop_cause apply(gang& item, gang_part& part, const reported_part* reported,
+                     std::uint64_t applied_command, instant now);
+
+    /// The worker restarted or its lease ran out: its part has ended.
+    void lose_part(gang& item, gang_part& part, instant now);
+
+    /// Orders a worker to stop tasks that no known gang accounts for.
+    /// Returns the number of the command.
+    std::uint64_t stop_orphan(worker_index worker, const gang_key& key,
+                              scheduling_actions& out);
+
+    [[nodiscard]] const std::deque<worker_command>&
+    outbox(worker_index worker) const;
+    void acknowledge(worker_index worker, std::uint64_t applied);
+    void clear_outbox(worker_index worker);
+
+    [[nodiscard]] static bool all_gone(const gang& item);
+    [[nodiscard]] static resource_amount amount_of(const gang& item,
+                                                   const gang_part& part);
+
+  private:
+    void send(command_kind kind, gang& item, gang_part& part, instant now,
+              scheduling_actions& out);
+    void enter(gang& item, gang_part& part, part_phase next, instant now);
+    void send_holds(gang& item, instant now, scheduling_actions& out);
+    void send_starts(gang& item, instant now, scheduling_actions& out);
+    void send_stops(gang& item, instant now, scheduling_actions& out);
+
+    worker_pool& pool_;
+    std::uint64_t epoch_;
+    std::map<worker_index, std::deque<worker_command>> outboxes_;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/scheduling/src/job_queue.cpp
@@ -0,0 +1,88 @@
+#include "dandelioncrank/scheduling/job_queue.hpp"
+
+#include <algorithm>
+
+namespace dandelioncrank {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// How long a job may be overtaken, in multiples of its own expected time.
+// Every job thus has a bounded wait behind shorter ones.
+constexpr int patience = 30;
+constexpr duration unknown_run_time = 10min;
+constexpr duration shortest_run_time = 1s;
+constexpr duration longest_patience = 48h;
+
+} // namespace
+
+duration expected_remaining(const job_spec& spec, duration attained)
+{
+    duration declared =
+        spec.declared_ > duration::zero() ? spec.declared_ : unknown_run_time;
+    duration rest = declared - attained;
+    return std::max({rest, attained, shortest_run_time});
+}
+
+job_queue::job_queue(order_policy policy) : policy_(policy) {}
+
+queue_position job_queue::position(const job_spec& spec, instant arrival,
+                                   duration attained) const
+{
+    queue_position result;
+    result.not_urgent_ = !spec.urgent_;
+    result.due_ = arrival;
+    duration size{};
+    if (policy_ == order_policy::shortest_declared)
+        size = expected_remaining(spec, duration::zero());
+    if (policy_ == order_policy::attained_service)
+        size = expected_remaining(spec, attained);
+    result.due_ += std::min(longest_patience, size * patience);
+    return result;
+}
+
+void job_queue::insert(const job_spec& spec, instant arrival, duration attained)
+{
+    queue_position place = position(spec, arrival, attained);
+    place.sequence_ = ++sequence_;
+    order_.emplace(place, spec.id_);
+    teams_[spec.team_].emplace(place, spec.id_);
+    positions_[spec.id_] = place;
+}
+
+void job_queue::erase(const job_id& id, const team_name& team)
+{
+    auto found = positions_.find(id);
+    if (found == positions_.end())
+        return;
+    order_.erase(found->second);
+    auto& own = teams_[team];
+    own.erase(found->second);
+    if (own.empty())
+        teams_.erase(team);
+    positions_.erase(found);
+}
+
+const std::map<queue_position, job_id>*
+job_queue::of_team(const team_name& team) const
+{
+    auto found = teams_.find(team);
+    return found == teams_.end() ? nullptr : &found->second;
+}
+
+std::vector<team_name> job_queue::waiting_teams() const
+{
+    std::vector<team_name> names;
+    for (const auto& item : teams_)
+        names.push_back(item.first);
+    return names;
+}
+
+std::size_t job_queue::size_of(const team_name& team) const
+{
+    const auto* own = of_team(team);
+    return own == nullptr ? 0 : own->size();
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/scheduling/src/reclaim_planner.cpp
@@ -0,0 +1,81 @@
+#include "reclaim_planner.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace dandelioncrank {
+
+namespace {
+
+// What saving and loading progress costs, in seconds of run time.
+constexpr double checkpoint_cost_seconds = 5.0;
+// Work that may not be run again is taken only when nothing else is left.
+constexpr double unrepeatable_harm = 1e15;
+
+} // namespace
+
+reclaim_planner::reclaim_planner(const worker_pool& pool,
+                                 const gang_table& gangs)
+    : pool_(pool), gangs_(gangs)
+{
+}
+
+bool reclaim_planner::may_preempt(const gang& item)
+{
+    return item.terms_ == tenure::borrowed &&
+           item.phase_ != gang_phase::stopping;
+}
+
+double reclaim_planner::harm(const gang& item, instant now)
+{
+    double width = std::max(1, item.spec_.total_accelerators());
+    if (!item.started_)
+        return 0;
+    if (!item.spec_.repeatable_)
+        return unrepeatable_harm * width;
+    if (item.phase_ != gang_phase::running)
+        return width;
+    if (item.spec_.checkpoints_)
+        return checkpoint_cost_seconds * width;
+    std::chrono::duration<double> ran = now - item.running_since_;
+    return (checkpoint_cost_seconds + ran.count()) * width;
+}
+
+std::optional<std::vector<gang_key>>
+reclaim_planner::victims_for(const std::map<worker_index, int>& needs,
+                             instant now) const
+{
+    std::vector<gang_key> victims;
+    std::map<worker_index, int> gained;
+    for (const auto& [index, need] : needs) {
+        const pool_worker& worker = pool_.at(index);
+        std::vector<std::pair<double, const gang*>> candidates;
+        for (const gang_key& key : worker.gangs_) {
+            const gang& item = gangs_.at(key);
+            bool chosen =
+                std::find(victims.begin(), victims.end(), key) != victims.end();
+            if (may_preempt(item) && !chosen)
+                candidates.emplace_back(harm(item, now), &item);
+        }
+        std::sort(candidates.begin(), candidates.end(),
+                  [](const auto& a, const auto& b) {
+                      return std::tie(a.first, a.second->key_) <
+                             std::tie(b.first, b.second->key_);
+                  });
+        for (const auto& [cost, item] : candidates) {
+            if (worker.free_soon() + gained[index] >= need)
+                break;
+            victims.push_back(item->key_);
+            for (const gang_part& part : item->parts_) {
+                if (!part.released_)
+                    gained[part.worker_] +=
+                        part.tasks_ * item->spec_.accelerators_;
+            }
+        }
+        if (worker.free_soon() + gained[index] < need)
+            return std::nullopt;
+    }
+    return victims;
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/scheduling/test/fake_pool.hpp
@@ -0,0 +1,532 @@
+#pragma once
+
+#include "dandelioncrank/scheduling/zone_scheduler.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace dandelioncrank::test {
+
+struct pool_options
+{
+    int racks_ = 2;
+    int workers_per_rack_ = 6;
+    int accelerators_ = 8;
+    duration delay_ = std::chrono::milliseconds(1);
+    duration heartbeat_ = std::chrono::seconds(2);
+    duration lease_ = std::chrono::seconds(10);
+    /// Share of messages that are lost, of a hundred.
+    int loss_percent_ = 0;
+    std::uint64_t seed_ = 1;
+    /// Checks the whole pool after every event.
+    bool check_always_ = true;
+    duration tick_ = std::chrono::milliseconds(100);
+};
+
+/// Workers around one real scheduler, in virtual time, and the truth about
+/// what ran on them.
+class fake_pool
+{
+  public:
+    fake_pool(pool_options options, scheduler_options scheduling,
+              configuration rules)
+        : options_(std::move(options)), scheduling_(std::move(scheduling)),
+          rules_(std::move(rules)), random_(options_.seed_)
+    {
+        scheduling_.lease_ = options_.lease_;
+        int count = options_.racks_ * options_.workers_per_rack_;
+        workers_.resize(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i) {
+            worker& item = workers_[static_cast<std::size_t>(i)];
+            item.info_.name_ = worker_name("w" + std::to_string(i));
+            item.info_.rack_ =
+                rack_name("r" + std::to_string(i / options_.workers_per_rack_));
+            item.info_.accelerators_ = options_.accelerators_;
+            item.info_.processors_ = 1024;
+            item.info_.memory_mb_ = 1 << 30;
+            item.incarnation_ = 1;
+            index_[item.info_.name_] = i;
+            at(now_ + duration(random_() % 1000), [this, i] { beat(i); });
+        }
+        restart_scheduler();
+        tick();
+    }
+
+    void at(instant when, std::function<void()> action)
+    {
+        events_.push({when, ++sequence_, std::move(action)});
+    }
+
+    void submit(const job_spec& spec, duration run_time, instant when)
+    {
+        truth& job = truths_[spec.id_];
+        job.spec_ = spec;
+        job.left_ = run_time;
+        job.arrived_ = when;
+        ++open_;
+        at(when, [this, spec] { feed(job_submitted{spec}); });
+    }
+
+    void cancel(const job_id& id, instant when)
+    {
+        at(when, [this, id] { feed(job_cancelled{id}); });
+    }
+
+    /// The worker dies with its tasks and comes back after a while.
+    void crash(int index, instant when, duration away)
+    {
+        at(when, [this, index] {
+            worker& item = workers_[static_cast<std::size_t>(index)];
+            item.up_ = false;
+            item.parts_.clear();
+        });
+        at(when + away, [this, index] {
+            worker& item = workers_[static_cast<std::size_t>(index)];
+            item.up_ = true;
+            ++item.incarnation_;
+            item.applied_ = 0;
+            item.epoch_ = 0;
+            item.last_answer_ = now_;
+        });
+    }
+
+    /// No message passes between the worker and the scheduler.
+    void cut(int index, instant when, duration length)
+    {
+        at(when, [this, index] { cut_.insert(index); });
+        at(when + length, [this, index] { cut_.erase(index); });
+    }
+
+    void replace_scheduler(instant when)
+    {
+        at(when, [this] { restart_scheduler(); });
+    }
+
+    void configure(const configuration& rules, instant when)
+    {
+        at(when, [this, rules] {
+            rules_ = rules;
+            scheduler_->configure(rules_, now_);
+        });
+    }
+
+    /// Every task started on this worker fails at once.
+    void set_bad(int index)
+    {
+        workers_[static_cast<std::size_t>(index)].bad_ = true;
+    }
+    void set_failing(const job_id& id) { truths_[id].fails_ = true; }
+
+    void run_until(instant end)
+    {
+        while (now_ < end && !events_.empty())
+            step();
+    }
+
+    /// Runs until all jobs have ended; throws at the bound.
+    void run_to_end(instant bound)
+    {
+        while (open_ > 0) {
+            if (now_ >= bound)
+                throw std::logic_error(
+                    std::to_string(open_) +
+                    " jobs have no fate: " + describe_open());
+            step();
+        }
+    }
+
+    struct truth
+    {
+        job_spec spec_;
+        duration left_{};
+        instant arrived_{};
+        std::optional<instant> started_;
+        std::optional<instant> ended_;
+        job_record record_;
+        int starts_ = 0;
+        bool fails_ = false;
+        std::set<std::uint64_t> attempts_started_;
+    };
+
+    [[nodiscard]] const std::map<job_id, truth>& truths() const
+    {
+        return truths_;
+    }
+    [[nodiscard]] zone_scheduler& scheduler() { return *scheduler_; }
+    [[nodiscard]] instant now() const { return now_; }
+    [[nodiscard]] std::size_t alarms() const { return alarms_; }
+    [[nodiscard]] std::size_t refused_holds() const { return refused_holds_; }
+    [[nodiscard]] std::size_t events() const { return sequence_; }
+    [[nodiscard]] std::size_t open() const { return open_; }
+
+    /// Called after each event, for measurements.
+    std::function<void()> on_event_;
+
+  private:
+    struct part
+    {
+        part_state state_ = part_state::held;
+        int tasks_ = 0;
+        int accelerators_ = 0;
+        instant started_{};
+        std::uint64_t run_ = 0;
+    };
+
+    struct worker
+    {
+        worker_info info_;
+        int incarnation_ = 0;
+        bool up_ = true;
+        bool bad_ = false;
+        std::uint64_t epoch_ = 0;
+        std::uint64_t applied_ = 0;
+        std::map<gang_key, part> parts_;
+        instant last_answer_{};
+    };
+
+    struct event
+    {
+        instant at_;
+        std::uint64_t sequence_;
+        std::function<void()> action_;
+
+        bool operator<(const event& other) const
+        {
+            return std::tie(other.at_, other.sequence_) <
+                   std::tie(at_, sequence_);
+        }
+    };
+
+    void step()
+    {
+        event next = events_.top();
+        events_.pop();
+        now_ = next.at_;
+        next.action_();
+    }
+
+    std::string describe_open() const
+    {
+        std::string text;
+        for (const auto& [id, job] : truths_) {
+            if (job.ended_)
+                continue;
+            auto view = scheduler_->job(id, now_);
+            text += id.str() + " " +
+                    (view ? to_text(view->record_.state_) + " " + view->why_
+                          : std::string("gone")) +
+                    "; ";
+        }
+        const worker_pool& pool = scheduler_->pool();
+        for (worker_index i = 0; i < pool.size(); ++i) {
+            const pool_worker& item = pool.at(i);
+            text += item.info_.name_.str() + " free " +
+                    std::to_string(item.free()) + " orphaned " +
+                    std::to_string(item.orphaned_) +
+                    (item.alive_ ? "" : " dead") +
+                    (item.suspect_ ? " suspect" : "") +
+                    (item.quarantined_ ? " quarantined" : "") + "; ";
+        }
+        return text;
+    }
+
+    duration jitter()
+    {
+        auto range = static_cast<std::uint64_t>(options_.delay_.count());
+        return options_.delay_ / 2 +
+               duration(static_cast<duration::rep>(random_() % (range + 1)));
+    }
+
+    bool lost(int index)
+    {
+        bool dropped =
+            static_cast<int>(random_() % 100) < options_.loss_percent_;
+        return dropped || cut_.contains(index);
+    }
+
+    void restart_scheduler()
+    {
+        bool replaces = scheduler_ != nullptr;
+        scheduling_.wait_for_reports_ =
+            scheduling_.wait_for_reports_ || replaces;
+        ++scheduling_.epoch_;
+        scheduler_ = std::make_unique<zone_scheduler>(scheduling_);
+        scheduler_->configure(rules_, now_);
+        for (const auto& [id, job] : truths_) {
+            bool known = !job.record_.spec_.id_.empty();
+            if (known && !is_final(job.record_.state_))
+                feed(job_recovered{job.record_});
+        }
+    }
+
+    void tick()
+    {
+        feed(scheduler_ticked{});
+        at(now_ + options_.tick_, [this] { tick(); });
+    }
+
+    void feed(const scheduling_event& event)
+    {
+        std::set<int> nudged;
+        for (const auto& action : scheduler_->handle(event, now_)) {
+            if (const auto* item = std::get_if<command_issued>(&action))
+                nudged.insert(index_.at(item->worker_));
+            if (const auto* item = std::get_if<job_changed>(&action))
+                keep_record(item->record_);
+            if (const auto* item = std::get_if<start_claim_wanted>(&action))
+                record_start(item->gang_);
+            alarms_ += std::holds_alternative<alarm_raised>(action);
+        }
+        for (int index : nudged)
+            send_commands(index);
+        if (options_.check_always_)
+            scheduler_->check_invariants();
+        if (on_event_)
+            on_event_();
+    }
+
+    void keep_record(const job_record& record)
+    {
+        truth& job = truths_.at(record.spec_.id_);
+        if (job.ended_)
+            throw std::logic_error("a job has two fates");
+        job.record_ = record;
+        if (!is_final(record.state_))
+            return;
+        job.ended_ = now_;
+        --open_;
+        bool ran = job.starts_ > 0;
+        if (record.state_ == job_state::not_run && ran)
+            throw std::logic_error("not-run ran");
+        if (record.state_ == job_state::completed &&
+            job.left_ > duration::zero())
+            throw std::logic_error("completed before its end");
+    }
+
+    void record_start(const gang_key& key)
+    {
+        truths_.at(key.job_).record_.state_ = job_state::running;
+        std::uint64_t owner = scheduling_.epoch_;
+        at(now_ + jitter(), [this, key, owner] {
+            if (owner == scheduling_.epoch_)
+                feed(start_recorded{key});
+        });
+    }
+
+    // The answer to a report, or a pushed answer to a waiting poll.
+    void send_commands(int index)
+    {
+        if (lost(index))
+            return;
+        const worker_name& name =
+            workers_[static_cast<std::size_t>(index)].info_.name_;
+        const auto& box = scheduler_->commands_for(name);
+        std::vector<worker_command> commands(box.begin(), box.end());
+        int incarnation =
+            workers_[static_cast<std::size_t>(index)].incarnation_;
+        at(now_ + jitter(), [this, index, commands, incarnation] {
+            worker& item = workers_[static_cast<std::size_t>(index)];
+            if (!item.up_ || item.incarnation_ != incarnation)
+                return;
+            item.last_answer_ = now_;
+            bool changed = false;
+            for (const worker_command& command : commands)
+                changed = obey(index, command) || changed;
+            if (changed)
+                report(index);
+        });
+    }
+
+    void beat(int index)
+    {
+        worker& item = workers_[static_cast<std::size_t>(index)];
+        // The lease: tasks end when reports go unanswered too long.
+        if (item.up_ && now_ - item.last_answer_ >= options_.lease_)
+            item.parts_.clear();
+        if (item.up_)
+            report(index);
+        at(now_ + options_.heartbeat_, [this, index] { beat(index); });
+    }
+
+    void report(int index)
+    {
+        worker& item = workers_[static_cast<std::size_t>(index)];
+        worker_report said;
+        said.info_ = item.info_;
+        said.incarnation_ = std::to_string(item.incarnation_);
+        said.epoch_ = item.epoch_;
+        said.applied_command_ = item.applied_;
+        for (const auto& [key, own] : item.parts_)
+            said.parts_.push_back(
+                {key, own.state_, own.tasks_, own.accelerators_});
+        if (lost(index))
+            return;
+        std::uint64_t number = ++report_number_;
+        at(now_ + jitter(), [this, index, said, number] {
+            // Reports of one worker come over one connection, in order.
+            std::uint64_t& newest = newest_report_[index];
+            if (number < newest)
+                return;
+            newest = number;
+            feed(worker_reported{said});
+            send_commands(index);
+        });
+    }
+
+    bool obey(int index, const worker_command& command)
+    {
+        worker& item = workers_[static_cast<std::size_t>(index)];
+        if (command.epoch_ < item.epoch_)
+            return false;
+        if (command.epoch_ > item.epoch_) {
+            item.epoch_ = command.epoch_;
+            item.applied_ = 0;
+        }
+        if (command.number_ <= item.applied_)
+            return false;
+        item.applied_ = command.number_;
+        switch (command.kind_) {
+        case command_kind::hold:
+            hold(item, command);
+            break;
+        case command_kind::start:
+            start(index, command.gang_);
+            break;
+        case command_kind::checkpoint:
+            checkpoint(item, command.gang_);
+            break;
+        case command_kind::throttle:
+            break;
+        case command_kind::stop:
+            item.parts_.erase(command.gang_);
+            break;
+        }
+        return true;
+    }
+
+    void hold(worker& item, const worker_command& command)
+    {
+        int used = 0;
+        for (const auto& [key, own] : item.parts_) {
+            if (own.state_ != part_state::refused)
+                used += own.tasks_ * own.accelerators_;
+        }
+        part own;
+        own.tasks_ = command.tasks_;
+        own.accelerators_ = command.accelerators_;
+        if (used + own.tasks_ * own.accelerators_ > item.info_.accelerators_) {
+            own.state_ = part_state::refused;
+            own.accelerators_ = 0;
+            ++refused_holds_;
+        }
+        item.parts_.emplace(command.gang_, own);
+    }
+
+    void start(int index, const gang_key& key)
+    {
+        worker& item = workers_[static_cast<std::size_t>(index)];
+        auto found = item.parts_.find(key);
+        if (found == item.parts_.end() ||
+            found->second.state_ != part_state::held)
+            return;
+        part& own = found->second;
+        own.state_ = part_state::running;
+        own.started_ = now_;
+        own.run_ = ++runs_;
+        truth& job = truths_.at(key.job_);
+        check_start(job, key);
+        if (item.bad_ || job.fails_) {
+            own.state_ = part_state::failed;
+            return;
+        }
+        std::uint64_t run = own.run_;
+        at(now_ + job.left_, [this, index, key, run] { end(index, key, run); });
+    }
+
+    void check_start(truth& job, const gang_key& key)
+    {
+        if (job.attempts_started_.insert(key.attempt_).second) {
+            ++job.starts_;
+            if (!job.started_)
+                job.started_ = now_;
+        }
+        if (!job.spec_.repeatable_ && job.starts_ > 1)
+            throw std::logic_error("a job that may run once ran twice");
+        int tasks = 0;
+        for (const worker& other : workers_) {
+            auto found = other.parts_.find(key);
+            if (found != other.parts_.end())
+                tasks += found->second.tasks_;
+        }
+        // A member may be lost just now; then the others are told to stop.
+        bool member_lost =
+            std::any_of(workers_.begin(), workers_.end(),
+                        [](const worker& other) { return !other.up_; });
+        bool cuts = !cut_.empty() || options_.loss_percent_ > 0;
+        if (tasks < job.spec_.tasks_ && !member_lost && !cuts &&
+            !job.record_.spec_.id_.empty() &&
+            job.record_.state_ != job_state::stopping)
+            throw std::logic_error("a part started without the whole gang");
+    }
+
+    void end(int index, const gang_key& key, std::uint64_t run)
+    {
+        worker& item = workers_[static_cast<std::size_t>(index)];
+        auto found = item.parts_.find(key);
+        bool same = found != item.parts_.end() && found->second.run_ == run &&
+                    found->second.state_ == part_state::running;
+        if (!same || !item.up_)
+            return;
+        found->second.state_ = part_state::finished;
+        truths_.at(key.job_).left_ = duration::zero();
+        report(index);
+    }
+
+    void checkpoint(worker& item, const gang_key& key)
+    {
+        auto found = item.parts_.find(key);
+        if (found == item.parts_.end() ||
+            found->second.state_ != part_state::running)
+            return;
+        truth& job = truths_.at(key.job_);
+        // The first part that saves tells how far the job is; parts of one
+        // gang run in step.
+        auto& saved = saved_[key];
+        if (saved == duration::zero()) {
+            saved = now_ - found->second.started_;
+            job.left_ = std::max(duration(1000), job.left_ - saved);
+        }
+        found->second.state_ = part_state::checkpointed;
+    }
+
+    pool_options options_;
+    scheduler_options scheduling_;
+    configuration rules_;
+    std::mt19937_64 random_;
+    std::unique_ptr<zone_scheduler> scheduler_;
+    std::vector<worker> workers_;
+    std::map<worker_name, int> index_;
+    std::map<job_id, truth> truths_;
+    std::map<gang_key, duration> saved_;
+    std::map<int, std::uint64_t> newest_report_;
+    std::set<int> cut_;
+    std::priority_queue<event> events_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t report_number_ = 0;
+    std::uint64_t runs_ = 0;
+    std::size_t open_ = 0;
+    std::size_t alarms_ = 0;
+    std::size_t refused_holds_ = 0;
+    instant now_{std::chrono::hours(1)};
+};
+
+} // namespace dandelioncrank::test
--- /dev/null
+++ b/libs/scheduling/test/random_pool_test.cpp
@@ -0,0 +1,124 @@
+#include "fake_pool.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+
+using namespace dandelioncrank;
+using namespace dandelioncrank::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+configuration random_rules(std::mt19937_64& random, const pool_options& pool)
+{
+    configuration rules;
+    zone_rule zone{zone_name("z"), "r", pool.racks_, pool.workers_per_rack_,
+                   pool.accelerators_};
+    rules.zones_.emplace(zone.name_, zone);
+    int left = pool.racks_ * pool.workers_per_rack_ * pool.accelerators_ / 2;
+    for (const char* name : {"a", "b", "c", "d"}) {
+        team_rule team;
+        team.name_ = team_name(name);
+        auto within = static_cast<adjacency>(random() % 3);
+        int most = within == adjacency::worker ? pool.accelerators_
+                                               : 2 * pool.accelerators_;
+        int size = 1 + static_cast<int>(random() % most);
+        int blocks = 1 + static_cast<int>(random() % 2);
+        if (random() % 4 != 0 && size * blocks <= left) {
+            left -= size * blocks;
+            team.guarantees_.push_back({zone.name_, blocks, size, within});
+        }
+        rules.teams_.emplace(team.name_, team);
+    }
+    return rules;
+}
+
+job_spec random_job(std::mt19937_64& random, int number,
+                    const pool_options& pool)
+{
+    job_spec spec;
+    spec.id_ = job_id("j" + std::to_string(number));
+    spec.team_ = team_name(std::string(1, "abcd"[random() % 4]));
+    spec.within_ = static_cast<adjacency>(random() % 3);
+    spec.accelerators_ = 1 + static_cast<int>(random() % 2);
+    int most = spec.within_ == adjacency::worker
+                   ? pool.accelerators_ / spec.accelerators_
+                   : 2 * pool.accelerators_ / spec.accelerators_;
+    spec.tasks_ = 1 + static_cast<int>(random() % most);
+    spec.urgent_ = random() % 8 == 0;
+    spec.checkpoints_ = random() % 2 == 0;
+    spec.repeatable_ = random() % 4 != 0;
+    spec.declared_ = std::chrono::seconds(1 + random() % 300);
+    return spec;
+}
+
+/// A pool under load with crashes, cuts, losses of messages, cancellations,
+/// new guarantees and new schedulers. Invariants are checked inside the
+/// scheduler after every event, and against the workers' truth.
+void run_seed(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    pool_options options;
+    options.seed_ = seed;
+    options.racks_ = 1 + static_cast<int>(random() % 3);
+    options.workers_per_rack_ = 2 + static_cast<int>(random() % 4);
+    options.accelerators_ = 2 + static_cast<int>(random() % 7);
+    options.loss_percent_ = random() % 3 == 0 ? 10 : 0;
+    options.delay_ = std::chrono::milliseconds(1 + random() % 50);
+    scheduler_options scheduling;
+    scheduling.zone_ = zone_name("z");
+    scheduling.wait_for_reports_ = true;
+    fake_pool pool(options, scheduling, random_rules(random, options));
+
+    instant begin = pool.now();
+    auto moment = [&] {
+        return begin + std::chrono::milliseconds(random() % 240'000);
+    };
+    int jobs = 10 + static_cast<int>(random() % 30);
+    for (int i = 0; i < jobs; ++i) {
+        auto length = std::chrono::milliseconds(100 + random() % 40'000);
+        pool.submit(random_job(random, i, options), length, moment());
+        if (random() % 6 == 0)
+            pool.cancel(job_id("j" + std::to_string(i)), moment());
+    }
+    int workers = options.racks_ * options.workers_per_rack_;
+    for (int i = 0; i < 4; ++i) {
+        auto index = static_cast<int>(random() % workers);
+        auto length = std::chrono::milliseconds(random() % 30'000);
+        if (random() % 2 == 0)
+            pool.crash(index, moment(), length);
+        else
+            pool.cut(index, moment(), length);
+    }
+    if (random() % 2 == 0)
+        pool.replace_scheduler(moment());
+    if (random() % 3 == 0)
+        pool.configure(random_rules(random, options), moment());
+    if (random() % 5 == 0)
+        pool.set_bad(static_cast<int>(random() % workers));
+    if (random() % 5 == 0)
+        pool.set_failing(job_id("j0"));
+    // Twice two hours: every job that fits has ended long before.
+    pool.run_to_end(begin + 4h);
+    pool.scheduler().check_invariants();
+}
+
+} // namespace
+
+TEST_CASE("promises hold in random runs", "[scheduling_runs]")
+{
+    std::uint64_t first = 1;
+    std::uint64_t count = 1000;
+    if (const char* text = std::getenv("DANDELIONCRANK_FIRST_SEED"))
+        first = std::strtoull(text, nullptr, 10);
+    if (const char* text = std::getenv("DANDELIONCRANK_SEEDS"))
+        count = std::strtoull(text, nullptr, 10);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        INFO("DANDELIONCRANK_FIRST_SEED=" << seed
+                                          << " DANDELIONCRANK_SEEDS=1 "
+                                             "test_scheduling "
+                                             "[scheduling_runs]");
+        REQUIRE_NOTHROW(run_seed(seed));
+    }
+}
--- /dev/null
+++ b/libs/scheduling/test/zone_scheduler_test.cpp
@@ -0,0 +1,297 @@
+#include "fake_pool.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelioncrank;
+using namespace dandelioncrank::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant start{1h};
+
+/// Two racks of six workers with eight accelerators; team "a" is guaranteed
+/// two blocks of 16 within a rack, "b" one of 8 within a worker.
+configuration make_rules()
+{
+    configuration rules;
+    zone_rule zone{zone_name("z"), "r", 2, 6, 8};
+    rules.zones_.emplace(zone.name_, zone);
+    for (const char* name : {"a", "b", "c"}) {
+        team_rule team;
+        team.name_ = team_name(name);
+        team.queued_jobs_ = 20000;
+        rules.teams_.emplace(team.name_, team);
+    }
+    rules.teams_.at(team_name("a")).guarantees_ = {
+        {zone.name_, 2, 16, adjacency::rack}};
+    rules.teams_.at(team_name("b")).guarantees_ = {
+        {zone.name_, 1, 8, adjacency::worker}};
+    return rules;
+}
+
+scheduler_options make_options()
+{
+    scheduler_options options;
+    options.zone_ = zone_name("z");
+    options.wait_for_reports_ = false;
+    return options;
+}
+
+job_spec make_job(const std::string& id, const std::string& team, int tasks,
+                  int accelerators, adjacency within = adjacency::any)
+{
+    job_spec spec;
+    spec.id_ = job_id(id);
+    spec.team_ = team_name(team);
+    spec.tasks_ = tasks;
+    spec.accelerators_ = accelerators;
+    spec.within_ = within;
+    spec.declared_ = 60s;
+    return spec;
+}
+
+const fake_pool::truth& truth_of(const fake_pool& pool, const std::string& id)
+{
+    return pool.truths().at(job_id(id));
+}
+
+job_state state_of(const fake_pool& pool, const std::string& id)
+{
+    return truth_of(pool, id).record_.state_;
+}
+
+} // namespace
+
+TEST_CASE("a gang runs whole on adjacent workers and completes", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    pool.submit(make_job("j", "c", 16, 1, adjacency::rack), 20s, start + 5s);
+    pool.run_until(start + 10s);
+    auto view = pool.scheduler().job(job_id("j"), pool.now());
+    REQUIRE(view);
+    CHECK(view->record_.state_ == job_state::running);
+    CHECK(view->workers_.size() == 2);
+    pool.run_to_end(start + 1min);
+    CHECK(state_of(pool, "j") == job_state::completed);
+}
+
+TEST_CASE("a job that could never run is refused with the reason",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    pool.submit(make_job("wide", "c", 49, 1, adjacency::rack), 1s, start + 5s);
+    pool.submit(make_job("fat", "c", 1, 9), 1s, start + 5s);
+    pool.submit(make_job("team", "nobody", 1, 1), 1s, start + 5s);
+    pool.run_to_end(start + 10s);
+    CHECK(state_of(pool, "wide") == job_state::not_run);
+    CHECK(truth_of(pool, "wide").record_.reason_.find("could ever hold 49") !=
+          std::string::npos);
+    CHECK(state_of(pool, "fat") == job_state::not_run);
+    CHECK(state_of(pool, "team") == job_state::not_run);
+}
+
+TEST_CASE("a guaranteed block is reclaimed from a full pool in time",
+          "[scheduler]")
+{
+    bool checkpoints = GENERATE(true, false);
+    fake_pool pool({}, make_options(), make_rules());
+    for (int i = 0; i < 24; ++i) {
+        auto spec = make_job("b" + std::to_string(i), "c", 4, 1);
+        spec.checkpoints_ = checkpoints;
+        pool.submit(spec, 10h, start + 5s);
+    }
+    pool.run_until(start + 60s);
+    REQUIRE(pool.scheduler().summary().free_ == 0);
+    for (int i = 0; i < 2; ++i) {
+        auto urgent =
+            make_job("u" + std::to_string(i), "a", 16, 1, adjacency::rack);
+        urgent.urgent_ = true;
+        pool.submit(urgent, 30s, start + 60s);
+    }
+    pool.run_until(start + 64s);
+    for (const char* id : {"u0", "u1"}) {
+        REQUIRE(truth_of(pool, id).started_);
+        CHECK(*truth_of(pool, id).started_ - (start + 60s) <= 3700ms);
+    }
+}
+
+TEST_CASE("a silent worker does not hold up a reclaim", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    for (int i = 0; i < 12; ++i) {
+        auto spec = make_job("b" + std::to_string(i), "c", 8, 1);
+        spec.checkpoints_ = true;
+        pool.submit(spec, 10h, start + 5s);
+    }
+    pool.run_until(start + 60s);
+    // Whatever worker is asked first, one of each rack is silent.
+    for (int index : {0, 6})
+        pool.cut(index, start + 59500ms, 60s);
+    auto urgent = make_job("u", "a", 16, 1, adjacency::rack);
+    urgent.urgent_ = true;
+    pool.submit(urgent, 30s, start + 60s);
+    pool.run_until(start + 70s);
+    REQUIRE(truth_of(pool, "u").started_);
+    CHECK(*truth_of(pool, "u").started_ - (start + 60s) <= 3700ms);
+}
+
+TEST_CASE("work that may run once never takes what guarantees need",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    for (int i = 0; i < 96; ++i) {
+        auto spec = make_job("o" + std::to_string(i), "c", 1, 1);
+        spec.repeatable_ = false;
+        pool.submit(spec, 10h, start + 5s);
+    }
+    pool.run_until(start + 30s);
+    // 96 accelerators less the 40 that are guaranteed to others.
+    CHECK(pool.scheduler().summary().gangs_ == 56);
+    auto why = pool.scheduler().job(job_id("o95"), pool.now());
+    auto first = pool.scheduler().job(job_id("o0"), pool.now());
+    REQUIRE(why);
+    REQUIRE(first);
+    bool waits = why->why_.find("only once") != std::string::npos ||
+                 first->why_.find("only once") != std::string::npos;
+    CHECK(waits);
+}
+
+TEST_CASE("a once-only job that only guarantees could hold is refused",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    auto wide = make_job("wide", "c", 96, 1);
+    wide.repeatable_ = false;
+    pool.submit(wide, 1s, start + 5s);
+    auto own = make_job("own", "a", 32, 1);
+    own.repeatable_ = false;
+    pool.submit(own, 1s, start + 5s);
+    pool.run_to_end(start + 1min);
+    CHECK(state_of(pool, "wide") == job_state::not_run);
+    CHECK(state_of(pool, "own") == job_state::completed);
+}
+
+TEST_CASE("a lost member stops the whole gang, and it runs again",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    pool.submit(make_job("j", "c", 48, 1, adjacency::rack), 60s, start + 5s);
+    pool.run_until(start + 10s);
+    REQUIRE(state_of(pool, "j") == job_state::running);
+    auto view = pool.scheduler().job(job_id("j"), pool.now());
+    int index = std::stoi(view->workers_.front().str().substr(1));
+    pool.crash(index, start + 20s, 5s);
+    pool.run_to_end(start + 10min);
+    CHECK(state_of(pool, "j") == job_state::completed);
+    CHECK(truth_of(pool, "j").starts_ == 2);
+}
+
+TEST_CASE("a job that may run once is unknown after a lost worker",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    auto spec = make_job("j", "a", 16, 1, adjacency::rack);
+    spec.repeatable_ = false;
+    pool.submit(spec, 60s, start + 5s);
+    pool.run_until(start + 10s);
+    auto view = pool.scheduler().job(job_id("j"), pool.now());
+    int index = std::stoi(view->workers_.front().str().substr(1));
+    pool.crash(index, start + 20s, 5s);
+    pool.run_to_end(start + 10min);
+    CHECK(state_of(pool, "j") == job_state::unknown);
+    CHECK(truth_of(pool, "j").starts_ == 1);
+}
+
+TEST_CASE("a worker that fails everything goes into quarantine", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    pool.set_bad(3);
+    for (int i = 0; i < 60; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 1, 4), 20s,
+                    start + 5s + i * 500ms);
+    pool.run_to_end(start + 30min);
+    CHECK(pool.scheduler().summary().quarantined_ == 1);
+    for (const auto& [id, job] : pool.truths())
+        CHECK(job.record_.state_ == job_state::completed);
+}
+
+TEST_CASE("a job that fails everywhere ends and spares the workers",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    pool.submit(make_job("bad", "c", 12, 8), 20s, start + 5s);
+    pool.set_failing(job_id("bad"));
+    pool.run_to_end(start + 5min);
+    CHECK(state_of(pool, "bad") == job_state::failed);
+    CHECK(pool.scheduler().summary().quarantined_ == 0);
+}
+
+TEST_CASE("a restarted scheduler takes over what runs", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    auto once = make_job("once", "a", 16, 1, adjacency::rack);
+    once.repeatable_ = false;
+    pool.submit(once, 60s, start + 5s);
+    pool.submit(make_job("many", "c", 24, 1), 60s, start + 5s);
+    pool.run_until(start + 10s);
+    pool.replace_scheduler(start + 20s);
+    pool.run_to_end(start + 5min);
+    for (const char* id : {"once", "many"}) {
+        CHECK(state_of(pool, id) == job_state::completed);
+        CHECK(truth_of(pool, id).starts_ == 1);
+    }
+}
+
+TEST_CASE("a lost rack is reported by team and the rest goes on", "[scheduler]")
+{
+    configuration rules = make_rules();
+    rules.teams_.at(team_name("a")).guarantees_ = {
+        {zone_name("z"), 4, 16, adjacency::rack}};
+    fake_pool pool({}, make_options(), rules);
+    pool.run_until(start + 10s);
+    CHECK(pool.scheduler().guarantees().shortages().empty());
+    for (int index = 0; index < 6; ++index)
+        pool.crash(index, start + 10s, 1h);
+    pool.run_until(start + 40s);
+    int missing = 0;
+    for (const team_view& view : pool.scheduler().teams(pool.now()))
+        missing += view.short_;
+    CHECK(missing == 16 * 4 + 8 - 48);
+    CHECK(pool.alarms() > 0);
+    pool.run_until(start + 2h);
+    CHECK(pool.scheduler().guarantees().shortages().empty());
+}
+
+TEST_CASE("a wave of cancellations ends every job once", "[scheduler]")
+{
+    pool_options options;
+    options.check_always_ = false;
+    fake_pool pool(options, make_options(), make_rules());
+    for (int i = 0; i < 10000; ++i) {
+        pool.submit(make_job("j" + std::to_string(i), "c", 1, 1), 1h,
+                    start + 5s);
+        pool.cancel(job_id("j" + std::to_string(i)), start + 10s + i * 100us);
+    }
+    pool.run_to_end(start + 30s);
+    pool.scheduler().check_invariants();
+    CHECK(pool.scheduler().summary().gangs_ == 0);
+    for (const auto& [id, job] : pool.truths())
+        CHECK(job.record_.state_ == job_state::cancelled);
+}
+
+TEST_CASE("a large gang is not starved by small work", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_rules());
+    for (int i = 0; i < 2000; ++i) {
+        auto spec = make_job("s" + std::to_string(i), "c", 1, 1);
+        spec.checkpoints_ = true;
+        spec.declared_ = 60s;
+        pool.submit(spec, 90s, start + 5s + i * 1s);
+    }
+    auto wide = make_job("wide", "c", 64, 1);
+    wide.declared_ = 1h;
+    pool.submit(wide, 60s, start + 300s);
+    pool.run_until(start + 300s + 15min);
+    CHECK(truth_of(pool, "wide").started_);
+}
