--- /dev/null
+++ b/libs/consensus/include/dandelioncrank/consensus/consensus_core.hpp
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "dandelioncrank/consensus/consensus_types.hpp"
+
+#include <memory>
+#include <random>
+
+namespace dandelioncrank {
+
+class replica_log;
+
+/// What a replica had on disk when it started.
+struct replica_start
+{
+    voter_name self_;
+    hard_state hard_state_;
+    log_snapshot snapshot_;
+    std::vector<log_entry> entries_;
+};
+
+/// What a replica shows of itself.
+struct replica_status
+{
+    voter_name self_;
+    replica_role role_ = replica_role::follower;
+    term_number term_ = 0;
+    voter_name leader_;
+    log_index last_index_ = 0;
+    log_index commit_ = 0;
+    log_index first_index_ = 0;
+    membership members_;
+};
+
+/// One replica of the log: elections with pre-vote and check-quorum,
+/// replication, read index, snapshots, membership one step at a time.
+///
+/// Pure: the time comes in with each call, and take_output() tells what to
+/// store, send and apply. Nothing that depends on the disk counts before
+/// persisted() was called.
+class consensus_core
+{
+  public:
+    consensus_core(replica_start start, consensus_timing timing,
+                   std::uint64_t seed, instant now,
+                   consensus_fault fault = consensus_fault::none);
+    ~consensus_core();
+
+    consensus_core(const consensus_core&) = delete;
+    consensus_core& operator=(const consensus_core&) = delete;
+
+    void receive(const consensus_message& message, instant now);
+    void tick(instant now);
+
+    /// Everything of the outputs taken so far is on disk.
+    void persisted(instant now);
+
+    /// Adds a command; its index, or nothing if this replica does not lead.
+    std::optional<log_index> propose(QByteArray command, instant now);
+
+    /// Asks for a linearizable read; read_granted follows, or failed_reads_.
+    /// False if this replica does not lead.
+    bool request_read(std::uint64_t token, instant now);
+
+    /// One change at a time; false while another one is under way or this
+    /// replica does not lead.
+    bool add_learner(const voter_name& who, const std::string& address,
+                     instant now);
+    bool promote_learner(const voter_name& who, instant now);
+    bool remove_member(const voter_name& who, instant now);
+    bool replace_voter(const voter_name& old, const voter_name& next,
+                       const std::string& address, instant now);
+
+    /// Hands leadership to the most advanced voter, for a planned stop.
+    void hand_over(instant now);
+
+    /// Drops the log up to an applied index.
+    void compact(log_index index, QByteArray state);
+
+    [[nodiscard]] consensus_output take_output();
+
+    [[nodiscard]] replica_status status() const;
+    [[nodiscard]] bool is_leader() const;
+    /// Entries since the last snapshot.
+    [[nodiscard]] std::size_t log_size() const;
+
+  private:
+    struct progress
+    {
+        log_index next_ = 1;
+        log_index match_ = 0;
+        /// Entries are sent one batch at a time until the follower agrees.
+        bool probing_ = true;
+        bool in_flight_ = false;
+        instant sent_at_{};
+        instant heard_at_{};
+        std::uint64_t round_ = 0;
+    };
+
+    struct pending_read
+    {
+        std::uint64_t token_ = 0;
+        std::uint64_t round_ = 0;
+        log_index index_ = 0;
+    };
+
+    // Elections.
+    void become_follower(term_number term, const voter_name& leader,
+                         instant now);
+    void campaign(bool pre_vote, bool handover, instant now);
+    void become_leader(instant now);
+    void reset_election_timer(instant now);
+    void handle(const vote_request& request, const consensus_message& message,
+                instant now);
+    void handle(const vote_reply& reply, const consensus_message& message,
+                instant now);
+    [[nodiscard]] bool may_vote_for(const vote_request& request,
+                                    const consensus_message& message,
+                                    instant now) const;
+    [[nodiscard]] bool has_recent_leader(instant now) const;
+    void check_quorum(instant now);
+
+    // Replication.
+    void handle(const append_request& request, const consensus_message& message,
+                instant now);
+    void handle(const append_reply& reply, const consensus_message& message,
+                instant now);
+    void handle(const snapshot_request& request,
+                const consensus_message& message, instant now);
+    void handle(const election_request& request,
+                const consensus_message& message, instant now);
+    void append_entries(const append_request& request, instant now);
+    void broadcast(instant now, bool with_heartbeat);
+    void send_append(const voter_name& to, instant now);
+    void send_snapshot(const voter_name& to, progress& peer, instant now);
+    void append_own(entry_kind kind, QByteArray data, instant now);
+    void advance_commit(instant now);
+    void commit_to(log_index index);
+    void answer_reads();
+    void fail_reads();
+
+    // Membership.
+    [[nodiscard]] bool may_change_members() const;
+    bool change_members(membership next, instant now);
+    void track_members(instant now);
+    void continue_replacement(instant now);
+    [[nodiscard]] bool has_caught_up(const voter_name& who) const;
+
+    void send(const voter_name& to, consensus_payload payload);
+    void save_hard_state();
+    [[nodiscard]] bool is_voter(const voter_name& who) const;
+    [[nodiscard]] std::size_t quorum() const;
+    [[nodiscard]] const membership& members() const;
+    void check_invariants() const;
+
+    voter_name self_;
+    consensus_timing timing_;
+    consensus_fault fault_;
+    std::mt19937_64 random_;
+    hard_state hard_;
+    std::unique_ptr<replica_log> log_;
+    replica_role role_ = replica_role::follower;
+    voter_name leader_;
+    log_index commit_ = 0;
+    log_index persisted_ = 0;
+    instant election_at_{};
+    instant leader_heard_at_{};
+    instant heartbeat_at_{};
+    instant quorum_checked_at_{};
+    bool pre_voting_ = false;
+    bool handing_over_ = false;
+    std::set<voter_name> granted_;
+    std::map<voter_name, progress> peers_;
+    std::uint64_t round_ = 0;
+    log_index term_start_ = 0;
+    std::vector<pending_read> reads_;
+    consensus_output output_;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/consensus/src/replica_log.cpp
@@ -0,0 +1,97 @@
+#include "replica_log.hpp"
+
+#include "dandelioncrank/core/invariant.hpp"
+
+namespace dandelioncrank {
+
+replica_log::replica_log(log_snapshot base, std::vector<log_entry> entries)
+    : base_(std::move(base)), entries_(entries.begin(), entries.end())
+{
+    find_members();
+}
+
+term_number replica_log::last_term() const
+{
+    return entries_.empty() ? base_.term_ : entries_.back().term_;
+}
+
+std::optional<term_number> replica_log::term_at(log_index index) const
+{
+    if (index == base_.index_)
+        return base_.term_;
+    if (index < base_.index_ || index > last_index())
+        return std::nullopt;
+    return at(index).term_;
+}
+
+const log_entry& replica_log::at(log_index index) const
+{
+    require_invariant(index > base_.index_ && index <= last_index(),
+                      "an entry is read only while it is in the log");
+    return entries_[index - base_.index_ - 1];
+}
+
+void replica_log::append(log_entry entry)
+{
+    require_invariant(entry.index_ == last_index() + 1, "the log has no gaps");
+    bool changes_members = entry.kind_ == entry_kind::membership;
+    entries_.push_back(std::move(entry));
+    if (changes_members)
+        find_members();
+}
+
+void replica_log::truncate_from(log_index index)
+{
+    while (!entries_.empty() && last_index() >= index)
+        entries_.pop_back();
+    find_members();
+}
+
+void replica_log::compact(log_snapshot base)
+{
+    if (base.index_ <= base_.index_)
+        return;
+    log_index drop = base.index_ - base_.index_;
+    entries_.erase(entries_.begin(),
+                   entries_.begin() + static_cast<std::ptrdiff_t>(drop));
+    base_ = std::move(base);
+    find_members();
+}
+
+void replica_log::reset(log_snapshot base)
+{
+    entries_.clear();
+    base_ = std::move(base);
+    find_members();
+}
+
+std::vector<log_entry> replica_log::slice(log_index from, std::size_t most,
+                                          std::size_t bytes) const
+{
+    std::vector<log_entry> result;
+    std::size_t size = 0;
+    for (log_index index = from; index <= last_index(); ++index) {
+        const log_entry& entry = at(index);
+        size += static_cast<std::size_t>(entry.data_.size());
+        bool full = result.size() >= most || (size > bytes && !result.empty());
+        if (full)
+            break;
+        result.push_back(entry);
+    }
+    return result;
+}
+
+void replica_log::find_members()
+{
+    members_ = base_.members_;
+    members_index_ = base_.index_;
+    for (auto it = entries_.rbegin(); it != entries_.rend(); ++it) {
+        if (it->kind_ != entry_kind::membership)
+            continue;
+        members_ = from_wire<membership>(it->data_);
+        members_index_ = it->index_;
+        return;
+    }
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/consensus/src/replica_log.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "dandelioncrank/consensus/consensus_types.hpp"
+
+#include <deque>
+
+namespace dandelioncrank {
+
+/// Entries after the last snapshot.
+class replica_log
+{
+  public:
+    replica_log(log_snapshot base, std::vector<log_entry> entries);
+
+    [[nodiscard]] log_index first_index() const { return base_.index_ + 1; }
+    [[nodiscard]] log_index last_index() const
+    {
+        return base_.index_ + entries_.size();
+    }
+    [[nodiscard]] term_number last_term() const;
+    [[nodiscard]] const log_snapshot& base() const { return base_; }
+
+    /// Term at an index; nothing if it is compacted or beyond the end.
+    [[nodiscard]] std::optional<term_number> term_at(log_index index) const;
+    [[nodiscard]] const log_entry& at(log_index index) const;
+
+    void append(log_entry entry);
+    void truncate_from(log_index index);
+    /// Drops entries up to the snapshot's index.
+    void compact(log_snapshot base);
+    /// Replaces everything.
+    void reset(log_snapshot base);
+
+    /// Entries from an index, bounded by count and bytes.
+    [[nodiscard]] std::vector<log_entry> slice(log_index from, std::size_t most,
+                                               std::size_t bytes) const;
+
+    /// Membership in force: the last one in the log, committed or not.
+    [[nodiscard]] const membership& members() const { return members_; }
+    [[nodiscard]] log_index members_index() const { return members_index_; }
+
+  private:
+    void find_members();
+
+    log_snapshot base_;
+    std::deque<log_entry> entries_;
+    membership members_;
+    log_index members_index_ = 0;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/consensus/src/replication.cpp
@@ -0,0 +1,258 @@
+// The part of consensus_core that moves entries between replicas.
+#include "dandelioncrank/consensus/consensus_core.hpp"
+
+#include "dandelioncrank/core/invariant.hpp"
+#include "replica_log.hpp"
+
+#include <algorithm>
+
+namespace dandelioncrank {
+
+namespace {
+
+// Bounds of one batch of entries.
+constexpr std::size_t max_batch_entries = 256;
+constexpr std::size_t max_batch_bytes = 1024 * 1024;
+
+} // namespace
+
+void consensus_core::append_own(entry_kind kind, QByteArray data, instant now)
+{
+    log_entry entry{log_->last_index() + 1, hard_.term_, kind, std::move(data)};
+    output_.entries_.push_back(entry);
+    log_->append(std::move(entry));
+    if (kind == entry_kind::membership)
+        track_members(now);
+    broadcast(now, false);
+}
+
+void consensus_core::broadcast(instant now, bool with_heartbeat)
+{
+    if (with_heartbeat) {
+        ++round_;
+        heartbeat_at_ = now + timing_.heartbeat_;
+    }
+    std::vector<voter_name> targets;
+    for (const auto& item : peers_)
+        targets.push_back(item.first);
+    for (const voter_name& name : targets) {
+        const progress& peer = peers_.at(name);
+        // Back-pressure: one batch in flight for each follower, sent again
+        // with the next heartbeat if no answer came.
+        if (with_heartbeat || !peer.in_flight_)
+            send_append(name, now);
+    }
+}
+
+void consensus_core::send_append(const voter_name& to, instant now)
+{
+    progress& peer = peers_.at(to);
+    if (peer.next_ < log_->first_index()) {
+        send_snapshot(to, peer, now);
+        return;
+    }
+    append_request request;
+    request.previous_index_ = peer.next_ - 1;
+    request.previous_term_ = *log_->term_at(peer.next_ - 1);
+    request.commit_ = commit_;
+    request.round_ = round_;
+    // While probing, an empty request finds out where the logs agree.
+    if (!peer.probing_)
+        request.entries_ =
+            log_->slice(peer.next_, max_batch_entries, max_batch_bytes);
+    peer.in_flight_ = true;
+    peer.sent_at_ = now;
+    send(to, std::move(request));
+}
+
+void consensus_core::send_snapshot(const voter_name& to, progress& peer,
+                                   instant now)
+{
+    bool sent_lately =
+        peer.in_flight_ && now - peer.sent_at_ < timing_.election_;
+    if (sent_lately) {
+        // Keeps the follower from an election while the snapshot travels.
+        append_request beat;
+        beat.previous_index_ = log_->base().index_;
+        beat.previous_term_ = log_->base().term_;
+        beat.commit_ = 0;
+        beat.round_ = round_;
+        send(to, std::move(beat));
+        return;
+    }
+    peer.in_flight_ = true;
+    peer.sent_at_ = now;
+    send(to, snapshot_request{log_->base(), round_});
+}
+
+void consensus_core::handle(const append_request& request,
+                            const consensus_message& message, instant now)
+{
+    require_invariant(!is_leader(), "a term has one leader at most");
+    become_follower(message.term_, message.from_, now);
+    leader_heard_at_ = now;
+    auto term = log_->term_at(request.previous_index_);
+    bool matches = term && *term == request.previous_term_;
+    // What a snapshot covers is committed, hence the same everywhere.
+    if (request.previous_index_ < log_->base().index_)
+        matches = true;
+    if (fault_ == consensus_fault::no_check_of_previous_entry &&
+        request.previous_index_ <= log_->last_index())
+        matches = true;
+    if (!matches) {
+        log_index retry =
+            std::min(log_->last_index(), request.previous_index_ - 1);
+        // Skips a whole term at a time on the way back.
+        if (term) {
+            while (retry > log_->base().index_ && log_->term_at(retry) == *term)
+                --retry;
+        }
+        send(message.from_, append_reply{false, retry, request.round_});
+        return;
+    }
+    append_entries(request, now);
+    log_index known = request.previous_index_ + request.entries_.size();
+    commit_to(std::min(request.commit_, known));
+    log_index synced = std::max(known, log_->base().index_);
+    send(message.from_, append_reply{true, std::min(synced, log_->last_index()),
+                                     request.round_});
+}
+
+void consensus_core::append_entries(const append_request& request, instant now)
+{
+    for (const log_entry& entry : request.entries_) {
+        if (entry.index_ <= log_->base().index_)
+            continue;
+        auto own = log_->term_at(entry.index_);
+        if (own && *own == entry.term_)
+            continue;
+        if (own) {
+            require_invariant(entry.index_ > commit_,
+                              "a committed entry is never replaced");
+            log_->truncate_from(entry.index_);
+            std::erase_if(output_.entries_, [&entry](const log_entry& item) {
+                return item.index_ >= entry.index_;
+            });
+            log_index from = entry.index_;
+            if (output_.truncate_from_)
+                from = std::min(from, *output_.truncate_from_);
+            output_.truncate_from_ = from;
+            persisted_ = std::min(persisted_, entry.index_ - 1);
+        }
+        output_.entries_.push_back(entry);
+        log_->append(entry);
+    }
+    (void)now;
+}
+
+void consensus_core::handle(const append_reply& reply,
+                            const consensus_message& message, instant now)
+{
+    auto found = peers_.find(message.from_);
+    if (!is_leader() || found == peers_.end())
+        return;
+    progress& peer = found->second;
+    peer.heard_at_ = now;
+    peer.in_flight_ = false;
+    peer.round_ = std::max(peer.round_, reply.round_);
+    if (!reply.matched_) {
+        if (reply.index_ + 1 < peer.next_) {
+            peer.next_ = std::max(reply.index_ + 1, peer.match_ + 1);
+            peer.probing_ = true;
+        }
+        send_append(message.from_, now);
+        return;
+    }
+    peer.probing_ = false;
+    peer.match_ = std::max(peer.match_, reply.index_);
+    peer.next_ = std::max(peer.next_, peer.match_ + 1);
+    answer_reads();
+    advance_commit(now);
+    if (peers_.contains(message.from_) && is_leader() &&
+        peer.next_ <= log_->last_index())
+        send_append(message.from_, now);
+}
+
+void consensus_core::advance_commit(instant now)
+{
+    std::vector<log_index> matches;
+    for (const voter_name& voter : members().voters_) {
+        if (voter == self_) {
+            matches.push_back(persisted_);
+            continue;
+        }
+        auto found = peers_.find(voter);
+        matches.push_back(found == peers_.end() ? 0 : found->second.match_);
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    log_index agreed = matches[quorum() - 1];
+    if (fault_ == consensus_fault::commit_without_quorum)
+        agreed = matches.front();
+    if (agreed <= commit_)
+        return;
+    // Entries of earlier terms commit only together with one of this term.
+    bool own_term = log_->term_at(agreed) == hard_.term_ ||
+                    fault_ == consensus_fault::commit_of_old_term;
+    if (!own_term)
+        return;
+    commit_to(agreed);
+    bool removed = log_->members_index() <= commit_ && !is_voter(self_);
+    // Followers learn the commit index at once, not with the next beat.
+    broadcast(now, false);
+    if (removed)
+        become_follower(hard_.term_, {}, now);
+}
+
+void consensus_core::commit_to(log_index index)
+{
+    for (log_index next = commit_ + 1; next <= index; ++next)
+        output_.committed_.push_back(log_->at(next));
+    commit_ = std::max(commit_, index);
+}
+
+void consensus_core::handle(const snapshot_request& request,
+                            const consensus_message& message, instant now)
+{
+    become_follower(message.term_, message.from_, now);
+    leader_heard_at_ = now;
+    const log_snapshot& snapshot = request.snapshot_;
+    if (snapshot.index_ <= commit_) {
+        send(message.from_, append_reply{true, commit_, request.round_});
+        return;
+    }
+    bool agrees = log_->term_at(snapshot.index_) == snapshot.term_;
+    bool keep = agrees || fault_ == consensus_fault::snapshot_keeps_old_log;
+    if (keep && snapshot.index_ <= log_->last_index()) {
+        log_->compact(snapshot);
+    } else {
+        log_->reset(snapshot);
+        output_.truncate_from_ = snapshot.index_ + 1;
+        output_.entries_.clear();
+    }
+    persisted_ = std::min(persisted_, log_->last_index());
+    commit_ = snapshot.index_;
+    output_.committed_.clear();
+    output_.snapshot_ = snapshot;
+    output_.restore_ = snapshot;
+    send(message.from_, append_reply{true, snapshot.index_, request.round_});
+}
+
+void consensus_core::compact(log_index index, QByteArray state)
+{
+    if (index <= log_->base().index_ || index > commit_)
+        return;
+    log_snapshot snapshot;
+    snapshot.index_ = index;
+    snapshot.term_ = *log_->term_at(index);
+    // The members at that index; a later change stays in the log.
+    snapshot.members_ = log_->base().members_;
+    for (log_index at = log_->first_index(); at <= index; ++at) {
+        if (log_->at(at).kind_ == entry_kind::membership)
+            snapshot.members_ = from_wire<membership>(log_->at(at).data_);
+    }
+    snapshot.state_ = std::move(state);
+    log_->compact(snapshot);
+    output_.snapshot_ = std::move(snapshot);
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/consensus/test/fake_cluster.cpp
@@ -0,0 +1,579 @@
+#include "fake_cluster.hpp"
+
+#include "dandelioncrank/core/invariant.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+#include <tuple>
+
+namespace dandelioncrank::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration tick_time = 20ms;
+constexpr duration answer_time = 2s;
+
+[[noreturn]] void fail(const std::string& what)
+{
+    throw std::logic_error(what);
+}
+
+} // namespace
+
+bool fake_cluster::event::operator<(const event& other) const
+{
+    return std::tie(other.at_, other.sequence_) < std::tie(at_, sequence_);
+}
+
+fake_cluster::fake_cluster(cluster_options options)
+    : options_(std::move(options)), random_(options_.seed_)
+{
+    membership members;
+    for (int i = 0; i < options_.voters_; ++i) {
+        int index = add_host();
+        members.voters_.insert(hosts_[static_cast<std::size_t>(index)].name_);
+    }
+    for (host& item : hosts_)
+        item.disk_.snapshot_.members_ = members;
+    for (int i = 0; i < options_.voters_; ++i)
+        restart(i);
+}
+
+fake_cluster::~fake_cluster() = default;
+
+int fake_cluster::add_host()
+{
+    int index = hosts();
+    host item;
+    item.name_ = voter_name("v" + std::to_string(index));
+    index_[item.name_] = index;
+    hosts_.push_back(std::move(item));
+    return index;
+}
+
+void fake_cluster::at(instant when, std::function<void()> action)
+{
+    events_.push({when, ++sequence_, std::move(action)});
+}
+
+void fake_cluster::run_until(instant end)
+{
+    while (!events_.empty() && events_.top().at_ <= end) {
+        event next = events_.top();
+        events_.pop();
+        now_ = next.at_;
+        next.action_();
+    }
+    now_ = end;
+}
+
+duration fake_cluster::random_delay()
+{
+    auto range = static_cast<std::uint64_t>(options_.delay_.count()) * 2;
+    return duration(static_cast<duration::rep>(random_() % (range + 1)));
+}
+
+bool fake_cluster::chance(int of_thousand)
+{
+    return static_cast<int>(random_() % 1000) < of_thousand;
+}
+
+bool fake_cluster::is_up(int index) const
+{
+    return hosts_[static_cast<std::size_t>(index)].core_ != nullptr;
+}
+
+int fake_cluster::leader() const
+{
+    int best = -1;
+    term_number term = 0;
+    for (int i = 0; i < hosts(); ++i) {
+        if (!is_up(i) || !status(i).leader_.str().size())
+            continue;
+        replica_status item = status(i);
+        if (item.role_ == replica_role::leader && item.term_ >= term) {
+            best = i;
+            term = item.term_;
+        }
+    }
+    return best;
+}
+
+replica_status fake_cluster::status(int index) const
+{
+    return hosts_[static_cast<std::size_t>(index)].core_->status();
+}
+
+term_number fake_cluster::highest_term() const
+{
+    term_number highest = 0;
+    for (int i = 0; i < hosts(); ++i) {
+        if (is_up(i))
+            highest = std::max(highest, status(i).term_);
+    }
+    return highest;
+}
+
+// --- Hosts
+
+void fake_cluster::crash(int index)
+{
+    host& item = hosts_[static_cast<std::size_t>(index)];
+    item.core_.reset();
+    item.state_.reset();
+    item.waiting_.clear();
+    ++item.generation_;
+}
+
+void fake_cluster::restart(int index)
+{
+    if (is_up(index))
+        return;
+    host& item = hosts_[static_cast<std::size_t>(index)];
+    replica_start start{item.name_, item.disk_.hard_state_,
+                        item.disk_.snapshot_, item.disk_.entries_};
+    item.core_ = std::make_unique<consensus_core>(
+        std::move(start), consensus_timing{}, random_(), now_, options_.fault_);
+    item.state_ = std::make_unique<replicated_state>();
+    item.applied_ = item.disk_.snapshot_.index_;
+    // A read may see less than before a restart, never a process in its life.
+    item.revision_seen_ = 0;
+    ++item.generation_;
+    drain(index);
+    tick(index, item.generation_);
+}
+
+void fake_cluster::lose_disk(int index)
+{
+    crash(index);
+    hosts_[static_cast<std::size_t>(index)].disk_ = {};
+}
+
+void fake_cluster::cut(int from, int to)
+{
+    cuts_.insert({from, to});
+}
+
+void fake_cluster::heal()
+{
+    cuts_.clear();
+}
+
+void fake_cluster::tick(int index, int generation)
+{
+    host& item = hosts_[static_cast<std::size_t>(index)];
+    if (!item.core_ || item.generation_ != generation)
+        return;
+    item.core_->tick(now_);
+    drain(index);
+    at(now_ + tick_time,
+       [this, index, generation] { tick(index, generation); });
+}
+
+void fake_cluster::store(host& target, const consensus_output& output)
+{
+    disk& kept = target.disk_;
+    if (output.hard_state_)
+        kept.hard_state_ = *output.hard_state_;
+    if (output.snapshot_) {
+        kept.snapshot_ = *output.snapshot_;
+        std::erase_if(kept.entries_, [&](const log_entry& entry) {
+            return entry.index_ <= output.snapshot_->index_;
+        });
+    }
+    if (output.truncate_from_) {
+        std::erase_if(kept.entries_, [&](const log_entry& entry) {
+            return entry.index_ >= *output.truncate_from_;
+        });
+    }
+    for (const log_entry& entry : output.entries_) {
+        if (entry.index_ > kept.snapshot_.index_)
+            kept.entries_.push_back(entry);
+    }
+}
+
+// A crash in the middle of writing leaves some first part of it on disk.
+bool fake_cluster::store_part_and_crash(int index,
+                                        const consensus_output& output)
+{
+    bool crashes = faults_allowed_ && output.needs_disk() && chance(2);
+    if (!crashes)
+        return false;
+    consensus_output part;
+    part.hard_state_ = output.hard_state_;
+    if (chance(500)) {
+        part.snapshot_ = output.snapshot_;
+        part.truncate_from_ = output.truncate_from_;
+        std::size_t kept = random_() % (output.entries_.size() + 1);
+        part.entries_.assign(output.entries_.begin(),
+                             output.entries_.begin() +
+                                 static_cast<std::ptrdiff_t>(kept));
+    }
+    store(hosts_[static_cast<std::size_t>(index)], part);
+    crash(index);
+    at(now_ + 100ms + random_delay() * 100, [this, index] { restart(index); });
+    return true;
+}
+
+void fake_cluster::drain(int index)
+{
+    for (int turn = 0; turn < 100; ++turn) {
+        host& item = hosts_[static_cast<std::size_t>(index)];
+        if (!item.core_)
+            return;
+        consensus_output output = item.core_->take_output();
+        bool empty = !output.needs_disk() && output.messages_.empty() &&
+                     output.committed_.empty() && output.reads_.empty() &&
+                     output.failed_reads_.empty() && !output.restore_;
+        if (empty)
+            break;
+        if (store_part_and_crash(index, output))
+            return;
+        store(item, output);
+        duration sync = output.needs_disk() ? random_delay() / 4 : duration();
+        for (const consensus_message& message : output.messages_)
+            deliver(message, sync);
+        if (output.restore_) {
+            item.state_->restore(output.restore_->state_);
+            item.applied_ = output.restore_->index_;
+            ++snapshots_installed_;
+        }
+        for (const log_entry& entry : output.committed_)
+            apply(index, entry);
+        for (const read_granted& read : output.reads_) {
+            auto found = read_tokens_.find(read.token_);
+            if (found != read_tokens_.end() && item.applied_ >= read.index_)
+                finish_read(found->second, index);
+        }
+        if (item.core_->log_size() > options_.compact_after_)
+            item.core_->compact(item.applied_, item.state_->snapshot());
+        item.core_->persisted(now_);
+    }
+    check_leaders();
+}
+
+void fake_cluster::deliver(const consensus_message& message, duration extra)
+{
+    auto from = index_.find(message.from_);
+    auto to = index_.find(message.to_);
+    if (from == index_.end() || to == index_.end())
+        return;
+    int source = from->second;
+    int target = to->second;
+    if (cuts_.contains({source, target}) || chance(options_.lost_))
+        return;
+    int copies = chance(options_.doubled_) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        // Through the codec, as between real hosts.
+        QByteArray bytes = to_wire(message);
+        at(now_ + extra + random_delay(), [this, target, bytes] {
+            host& item = hosts_[static_cast<std::size_t>(target)];
+            if (!item.core_)
+                return;
+            item.core_->receive(from_wire<consensus_message>(bytes), now_);
+            drain(target);
+        });
+    }
+}
+
+// --- Invariants of the whole
+
+void fake_cluster::check_leaders()
+{
+    for (int i = 0; i < hosts(); ++i) {
+        if (!is_up(i))
+            continue;
+        replica_status item = status(i);
+        if (item.role_ != replica_role::leader)
+            continue;
+        auto [found, fresh] = leaders_.try_emplace(item.term_, item.self_);
+        if (found->second != item.self_)
+            fail("term " + std::to_string(item.term_) + " has two leaders");
+    }
+}
+
+void fake_cluster::check_committed(const log_entry& entry,
+                                   const replicated_state& state)
+{
+    QByteArray bytes = to_wire(entry);
+    std::uint64_t hash = stable_hash(
+        {bytes.constData(), static_cast<std::size_t>(bytes.size())});
+    auto [found, fresh] = committed_.try_emplace(entry.index_, hash);
+    if (found->second != hash)
+        fail("index " + std::to_string(entry.index_) +
+             " was committed with two contents");
+    // A hash covers the whole state, so it is taken now and then only.
+    if (entry.index_ % 32 != 0)
+        return;
+    std::uint64_t after = state.hash();
+    auto [known, first] = state_hashes_.try_emplace(entry.index_, after);
+    if (known->second != after)
+        fail("replicas differ after index " + std::to_string(entry.index_));
+}
+
+void fake_cluster::apply(int index, const log_entry& entry)
+{
+    host& item = hosts_[static_cast<std::size_t>(index)];
+    if (entry.index_ != item.applied_ + 1)
+        fail("an entry was applied out of order");
+    item.applied_ = entry.index_;
+    state_reply reply;
+    if (entry.kind_ == entry_kind::command)
+        reply = item.state_->apply(from_wire<state_command>(entry.data_));
+    check_committed(entry, *item.state_);
+    std::uint64_t revision = item.state_->config().revision();
+    if (revision < item.revision_seen_)
+        fail("a process saw the configuration revert");
+    item.revision_seen_ = revision;
+    auto found = item.waiting_.find(entry.index_);
+    if (found == item.waiting_.end())
+        return;
+    auto [term, number] = found->second;
+    item.waiting_.erase(found);
+    if (term == entry.term_)
+        finish(number, reply);
+}
+
+// --- Operators
+
+bool fake_cluster::replace(int old, int next)
+{
+    int chief = leader();
+    if (chief < 0)
+        return false;
+    host& item = hosts_[static_cast<std::size_t>(chief)];
+    bool taken = item.core_->replace_voter(
+        hosts_[static_cast<std::size_t>(old)].name_,
+        hosts_[static_cast<std::size_t>(next)].name_, "", now_);
+    drain(chief);
+    return taken;
+}
+
+bool fake_cluster::is_member(int index) const
+{
+    int chief = leader();
+    return chief >= 0 && status(chief).members_.voters_.contains(
+                             hosts_[static_cast<std::size_t>(index)].name_);
+}
+
+bool fake_cluster::replacement_done(int old) const
+{
+    int chief = leader();
+    return chief >= 0 && !is_member(old) &&
+           !status(chief).members_.replacement_;
+}
+
+void fake_cluster::hand_over()
+{
+    int chief = leader();
+    if (chief < 0)
+        return;
+    hosts_[static_cast<std::size_t>(chief)].core_->hand_over(now_);
+    drain(chief);
+}
+
+// --- Clients
+
+void fake_cluster::start_client(int client, instant stops_at)
+{
+    clients_[client] = stops_at;
+    next_operation(client);
+}
+
+state_change fake_cluster::make_change(int client)
+{
+    std::string number = std::to_string(next_number_);
+    if (random_() % 3 == 0) {
+        take_claim claim;
+        claim.key_ = "k" + std::to_string(random_() % 20);
+        claim.request_ = request_id("q" + number);
+        claim.host_ = host_name("c" + std::to_string(client));
+        claim.digest_ = 1;
+        return claim;
+    }
+    submit_config submit;
+    submit.request_ = request_id("q" + number);
+    submit.author_ = "c" + std::to_string(client);
+    submit.checked_revision_ = known_revision_;
+    submit.change_ = {"leon", known_version_, {"leon.yaml", "body" + number}};
+    return submit;
+}
+
+void fake_cluster::next_operation(int client)
+{
+    if (now_ >= clients_[client])
+        return;
+    std::uint64_t number = ++next_number_;
+    operation item;
+    item.client_ = client;
+    item.start_ = now_;
+    item.is_read_ = random_() % 4 == 0;
+    item.change_ = make_change(client);
+    operations_[number] = item;
+    try_operation(number, 1);
+}
+
+// A resend goes to any host, with the same request id.
+void fake_cluster::try_operation(std::uint64_t number, int attempt)
+{
+    operation& item = operations_.at(number);
+    if (item.done_)
+        return;
+    int client = item.client_;
+    if (attempt > 8) {
+        item.done_ = true;
+        at(now_ + 10ms, [this, client] { next_operation(client); });
+        return;
+    }
+    int index = leader();
+    if (index < 0 || random_() % 4 == 0)
+        index = static_cast<int>(random_() % hosts_.size());
+    host& target = hosts_[static_cast<std::size_t>(index)];
+    bool sent = false;
+    if (target.core_ && item.is_read_) {
+        std::uint64_t token = ++next_token_;
+        read_tokens_[token] = number;
+        sent = target.core_->request_read(token, now_);
+        drain(index);
+    } else if (target.core_) {
+        state_command command{std::chrono::sys_seconds(10000s), item.change_};
+        auto place = target.core_->propose(to_wire(command), now_);
+        sent = place.has_value();
+        if (place)
+            target.waiting_[*place] = {target.core_->status().term_, number};
+        drain(index);
+    }
+    duration wait = sent ? answer_time : 100ms;
+    at(now_ + wait,
+       [this, number, attempt] { try_operation(number, attempt + 1); });
+}
+
+void fake_cluster::finish(std::uint64_t number, const state_reply& reply)
+{
+    operation& item = operations_.at(number);
+    if (item.done_)
+        return;
+    const auto* submit = std::get_if<submit_result>(&reply);
+    if (submit != nullptr && submit->outcome_ == submit_outcome::stale_check) {
+        auto& change = std::get<submit_config>(item.change_);
+        change.checked_revision_ = submit->revision_;
+        return;
+    }
+    item.done_ = true;
+    if (submit != nullptr)
+        record_submit(item, *submit);
+    if (const auto* claim = std::get_if<claim_result>(&reply))
+        record_claim(item, *claim);
+    int client = item.client_;
+    at(now_ + random_delay() * 4, [this, client] { next_operation(client); });
+}
+
+void fake_cluster::record_submit(const operation& item,
+                                 const submit_result& result)
+{
+    const auto& change = std::get<submit_config>(item.change_);
+    known_version_ = std::max(known_version_, result.version_);
+    known_revision_ = std::max(known_revision_, result.revision_);
+    text_operation entry;
+    entry.start_ = item.start_;
+    entry.end_ = now_;
+    entry.version_ = result.version_;
+    if (result.outcome_ == submit_outcome::accepted) {
+        entry.kind_ = text_operation::kind::write;
+        entry.body_ = change.change_.text_.body_;
+        accepted_[result.version_] = entry.body_;
+    } else {
+        // A remembered answer may be older than this attempt.
+        entry.body_known_ = false;
+    }
+    history_.push_back(entry);
+}
+
+void fake_cluster::record_claim(const operation& item,
+                                const claim_result& result)
+{
+    const auto& claim = std::get<take_claim>(item.change_);
+    if (result.outcome_ != claim_outcome::granted)
+        return;
+    auto [found, fresh] = granted_.try_emplace(claim.key_, claim.request_);
+    if (found->second != claim.request_)
+        fail("key " + claim.key_ + " was granted to two requests");
+}
+
+void fake_cluster::finish_read(std::uint64_t number, int index)
+{
+    operation& item = operations_.at(number);
+    if (item.done_)
+        return;
+    item.done_ = true;
+    const config_store& config =
+        hosts_[static_cast<std::size_t>(index)].state_->config();
+    text_operation entry;
+    entry.start_ = item.start_;
+    entry.end_ = now_;
+    auto found = config.texts().find("leon");
+    if (found != config.texts().end()) {
+        entry.version_ = found->second.version_;
+        entry.body_ = found->second.text_.body_;
+    }
+    history_.push_back(entry);
+    int client = item.client_;
+    at(now_ + random_delay() * 4, [this, client] { next_operation(client); });
+}
+
+// --- The end of a run
+
+void fake_cluster::settle()
+{
+    faults_allowed_ = false;
+    options_.lost_ = 0;
+    heal();
+    for (int i = 0; i < hosts(); ++i)
+        restart(i);
+    instant bound = now_ + 60s;
+    auto agreed = [this] {
+        int chief = leader();
+        if (chief < 0)
+            return false;
+        replica_status top = status(chief);
+        for (int i = 0; i < hosts(); ++i) {
+            replica_status item = status(i);
+            bool member = top.members_.voters_.contains(item.self_);
+            if (member &&
+                (item.commit_ != top.last_index_ || item.term_ != top.term_))
+                return false;
+        }
+        return true;
+    };
+    while (!agreed()) {
+        if (now_ >= bound)
+            fail("no agreement within a minute of healing");
+        run_until(now_ + 100ms);
+    }
+    const config_store& config =
+        hosts_[static_cast<std::size_t>(leader())].state_->config();
+    auto text = config.texts().find("leon");
+    std::uint64_t version =
+        text == config.texts().end() ? 0 : text->second.version_;
+    if (!accepted_.empty() && accepted_.rbegin()->first > version)
+        fail("an accepted change was lost");
+    for (const auto& [key, request] : granted_) {
+        auto kept =
+            hosts_[static_cast<std::size_t>(leader())].state_->claims().find(
+                key);
+        if (!kept || kept->request_ != request)
+            fail("a granted claim was lost");
+    }
+    std::vector<open_write> open;
+    for (const auto& [number, item] : operations_) {
+        const auto* submit = std::get_if<submit_config>(&item.change_);
+        if (submit != nullptr && !item.is_read_)
+            open.push_back({item.start_, submit->change_.text_.body_});
+    }
+    if (auto fault = check_text_history(history_, open))
+        fail("history: " + *fault);
+}
+
+} // namespace dandelioncrank::test
--- /dev/null
+++ b/libs/state/include/dandelioncrank/state/claim_table.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "dandelioncrank/state/state_commands.hpp"
+
+#include <deque>
+#include <map>
+
+namespace dandelioncrank {
+
+struct claim_record
+{
+    request_id request_;
+    host_name host_;
+    std::uint64_t digest_ = 0;
+    std::chrono::sys_seconds at_{};
+    bool settled_ = false;
+    fate fate_ = fate::unknown;
+    QByteArray answer_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(request_, host_, digest_, at_, settled_, fate_, answer_);
+    }
+};
+
+/// Claims of requests that may run at most once, by idempotency key.
+///
+/// A claim is forgotten a day after it was taken; a key must not be used
+/// again after that. A claim whose request did not run is dropped at once,
+/// so that a resend makes the first run.
+class claim_table
+{
+  public:
+    claim_result take(const take_claim& request, std::chrono::sys_seconds at);
+    claim_result settle(const settle_claim& request);
+
+    /// Drops claims older than the retention time.
+    void expire(std::chrono::sys_seconds now);
+
+    [[nodiscard]] std::size_t size() const { return claims_.size(); }
+    [[nodiscard]] std::optional<claim_record>
+    find(const std::string& key) const;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        std::vector<std::string> order(order_.begin(), order_.end());
+        archive(claims_, order);
+        order_.assign(order.begin(), order.end());
+    }
+
+  private:
+    std::map<std::string, claim_record> claims_;
+    std::deque<std::string> order_;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/state/src/config_store.cpp
@@ -0,0 +1,101 @@
+#include "dandelioncrank/state/config_store.hpp"
+
+namespace dandelioncrank {
+
+namespace {
+
+// Changes that stay listed: two days at 11,000 a day.
+constexpr std::size_t max_history = 22000;
+// Request ids whose first answer is given again. A resend later than that
+// meets a conflict instead, which is safe: it names a version of the past.
+constexpr std::size_t max_answers = 22000;
+
+} // namespace
+
+std::string to_text(submit_outcome value)
+{
+    switch (value) {
+    case submit_outcome::accepted:
+        return "accepted";
+    case submit_outcome::unchanged:
+        return "unchanged";
+    case submit_outcome::conflict:
+        return "conflict";
+    case submit_outcome::stale_check:
+        break;
+    }
+    return "stale-check";
+}
+
+std::optional<submit_result>
+config_store::answer_to(const request_id& request) const
+{
+    auto found = answers_.find(request);
+    if (found == answers_.end())
+        return std::nullopt;
+    return found->second;
+}
+
+submit_result config_store::apply(const submit_config& change,
+                                  std::chrono::sys_seconds at)
+{
+    if (auto known = answer_to(change.request_))
+        return *known;
+    submit_result result = decide(change, at);
+    // A stale check is no answer: the same request comes again.
+    if (result.outcome_ != submit_outcome::stale_check)
+        remember(change.request_, result);
+    return result;
+}
+
+submit_result config_store::decide(const submit_config& change,
+                                   std::chrono::sys_seconds at)
+{
+    const text_change& item = change.change_;
+    auto found = texts_.find(item.subject_);
+    std::uint64_t version = found == texts_.end() ? 0 : found->second.version_;
+    submit_result result;
+    result.subject_ = item.subject_;
+    result.revision_ = revision_;
+    result.version_ = version;
+    if (found != texts_.end())
+        result.author_ = found->second.author_;
+    bool same =
+        found != texts_.end() && found->second.text_.body_ == item.text_.body_;
+    if (same) {
+        result.outcome_ = submit_outcome::unchanged;
+        return result;
+    }
+    if (item.replaces_ != version) {
+        result.outcome_ = submit_outcome::conflict;
+        return result;
+    }
+    if (change.checked_revision_ != revision_) {
+        result.outcome_ = submit_outcome::stale_check;
+        return result;
+    }
+    ++revision_;
+    stored_text& text = texts_[item.subject_];
+    text = {version + 1, revision_, item.text_, change.author_, at};
+    history_.push_back(
+        {revision_, item.subject_, text.version_, change.author_, at});
+    if (history_.size() > max_history)
+        history_.pop_front();
+    result.revision_ = revision_;
+    result.version_ = text.version_;
+    result.author_ = change.author_;
+    return result;
+}
+
+void config_store::remember(const request_id& request,
+                            const submit_result& result)
+{
+    answers_.emplace(request, result);
+    answer_order_.push_back(request);
+    if (answer_order_.size() <= max_answers)
+        return;
+    answers_.erase(answer_order_.front());
+    answer_order_.pop_front();
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/state/src/replicated_state.cpp
@@ -0,0 +1,101 @@
+#include "dandelioncrank/state/replicated_state.hpp"
+
+#include <algorithm>
+
+namespace dandelioncrank {
+
+namespace {
+
+// Finished jobs that stay listed: two days at 19,000 a day.
+constexpr std::size_t max_finished_jobs = 38000;
+
+} // namespace
+
+state_reply replicated_state::apply(const state_command& command)
+{
+    // Clocks of successive leaders differ; time never goes back here.
+    now_ = std::max(now_, command.at_);
+    claims_.expire(now_);
+    return std::visit([this](const auto& change) { return handle(change); },
+                      command.change_);
+}
+
+state_reply replicated_state::handle(const submit_config& change)
+{
+    return config_.apply(change, now_);
+}
+
+state_reply replicated_state::handle(const put_job& change)
+{
+    const job_id& id = change.record_.spec_.id_;
+    auto found = jobs_.find(id);
+    if (change.is_new_ && found != jobs_.end())
+        return job_result{false, found->second.record_};
+    auto owner = zones_.find(change.zone_);
+    bool outdated = !change.is_new_ && owner != zones_.end() &&
+                    change.epoch_ < owner->second.epoch_;
+    bool ended = found != jobs_.end() && is_final(found->second.record_.state_);
+    if (outdated || ended) {
+        job_result result;
+        if (found != jobs_.end())
+            result.record_ = found->second.record_;
+        return result;
+    }
+    jobs_[id] = {change.zone_, change.record_};
+    if (is_final(change.record_.state_)) {
+        finished_.push_back(id);
+        forget_finished_jobs();
+    }
+    return job_result{true, change.record_};
+}
+
+void replicated_state::forget_finished_jobs()
+{
+    while (finished_.size() > max_finished_jobs) {
+        jobs_.erase(finished_.front());
+        finished_.pop_front();
+    }
+}
+
+state_reply replicated_state::handle(const take_claim& change)
+{
+    return claims_.take(change, now_);
+}
+
+state_reply replicated_state::handle(const settle_claim& change)
+{
+    return claims_.settle(change);
+}
+
+state_reply replicated_state::handle(const take_zone& change)
+{
+    zone_owner& owner = zones_[change.zone_];
+    bool same = owner.host_ == change.host_ && owner.nonce_ == change.nonce_;
+    if (!same)
+        owner = {owner.epoch_ + 1, change.host_, change.nonce_};
+    return zone_result{owner.epoch_, owner.host_};
+}
+
+state_reply replicated_state::handle(const read_barrier&)
+{
+    return barrier_result{config_.revision()};
+}
+
+QByteArray replicated_state::snapshot() const
+{
+    return to_wire(*this);
+}
+
+void replicated_state::restore(const QByteArray& bytes)
+{
+    *this = from_wire<replicated_state>(bytes);
+}
+
+std::uint64_t replicated_state::hash() const
+{
+    QByteArray bytes = snapshot();
+    return stable_hash(
+        {bytes.constData(), static_cast<std::size_t>(bytes.size())});
+}
+
+} // namespace dandelioncrank
