--- /dev/null
+++ b/libs/dissemination/include/dandelioncrank/dissemination/disseminator.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "dandelioncrank/dissemination/gossip_message.hpp"
+
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace dandelioncrank {
+
+struct gossip_send
+{
+    host_name to_;
+    gossip_message message_;
+};
+
+struct endpoint_changed
+{
+    endpoint_info info_;
+};
+
+struct endpoint_expired
+{
+    endpoint_info info_;
+};
+
+struct host_appeared
+{
+    host_status status_;
+};
+
+struct host_vanished
+{
+    host_name name_;
+};
+
+/// Another daemon has a newer configuration: ask it for it.
+struct config_wanted
+{
+    host_name from_;
+    std::uint64_t revision_ = 0;
+};
+
+using gossip_action =
+    std::variant<gossip_send, endpoint_changed, endpoint_expired, host_appeared,
+                 host_vanished, config_wanted>;
+
+using gossip_actions = std::vector<gossip_action>;
+
+struct gossip_timing
+{
+    duration heartbeat_ = std::chrono::milliseconds(250);
+    /// A host that is silent for so long counts as lost.
+    duration lost_after_ = std::chrono::milliseconds(1500);
+};
+
+/// Spreads endpoint announcements and revisions between daemons. Pure.
+///
+/// Changes go to every peer at once; heartbeats carry a digest, and whoever
+/// sees another one asks for everything, so that lost messages are made up
+/// for within a heartbeat or two.
+class disseminator
+{
+  public:
+    disseminator(host_status self, std::vector<host_name> peers,
+                 gossip_timing timing);
+
+    /// An endpoint announced itself to this daemon. A sequence that is not
+    /// newer than what is known only shows that it is alive.
+    void announce(const endpoint_info& info, std::uint64_t sequence,
+                  instant now, gossip_actions& out);
+    void receive(const gossip_message& message, instant now,
+                 gossip_actions& out);
+    void tick(instant now, gossip_actions& out);
+
+    /// Changes what this daemon says of itself, and says so at once.
+    void update_self(const host_status& self, instant now, gossip_actions& out);
+
+    [[nodiscard]] const host_status& self() const { return self_; }
+    /// Hosts heard of lately, without this one.
+    [[nodiscard]] std::vector<host_status> live_hosts() const;
+    [[nodiscard]] bool has_heard_from(const host_name& name) const;
+    [[nodiscard]] std::vector<endpoint_entry> endpoints(instant now) const;
+    [[nodiscard]] std::uint64_t newest_revision_heard() const;
+
+  private:
+    struct known_endpoint
+    {
+        endpoint_info info_;
+        std::uint64_t sequence_ = 0;
+        instant announced_at_{};
+    };
+
+    struct known_host
+    {
+        host_status status_;
+        instant heard_at_{};
+        bool live_ = false;
+    };
+
+    bool merge(const endpoint_entry& entry, instant now, gossip_actions& out);
+    void send(const host_name& to, std::vector<endpoint_entry> entries,
+              bool wants_all, gossip_actions& out) const;
+    void broadcast(const std::vector<endpoint_entry>& entries,
+                   gossip_actions& out) const;
+    [[nodiscard]] std::uint64_t digest() const;
+    [[nodiscard]] endpoint_entry entry_of(const known_endpoint& item,
+                                          instant now) const;
+
+    host_status self_;
+    std::vector<host_name> peers_;
+    gossip_timing timing_;
+    std::map<endpoint_name, known_endpoint> endpoints_;
+    std::map<host_name, known_host> hosts_;
+    instant heartbeat_at_{};
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/peer/include/dandelioncrank/peer/peer_link.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "dandelioncrank/core/time.hpp"
+#include "dandelioncrank/settings/settings_reader.hpp"
+
+#include <QByteArray>
+#include <QObject>
+#include <QTimer>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace dandelioncrank {
+
+class tcp_socket;
+class http2_session;
+
+/// Messages from this daemon to one other daemon over HTTP/2 streams.
+///
+/// Connects when there is something to send. Messages that were not answered
+/// when the connection breaks have failed; nothing is sent twice.
+class peer_link : public QObject
+{
+  public:
+    /// Nothing if no answer came: the message may or may not have arrived.
+    using answer_handler = std::function<void(std::optional<QByteArray>)>;
+
+    explicit peer_link(const host_port& address);
+    ~peer_link() override;
+
+    /// Sends one message; the handler is called once, never from within
+    /// this call.
+    void send(const QByteArray& body, duration limit, answer_handler on_answer);
+    /// Sends a message whose answer does not matter. It is dropped while
+    /// too many bytes wait for the other side.
+    void post(const QByteArray& body);
+
+    [[nodiscard]] std::uint64_t sent_bytes() const { return sent_bytes_; }
+    [[nodiscard]] std::uint64_t sent_messages() const { return messages_; }
+
+  private:
+    struct pending
+    {
+        answer_handler on_answer_;
+        instant deadline_;
+    };
+
+    bool ensure_connection();
+    void break_off();
+    void expire();
+    void fail_later(answer_handler on_answer);
+
+    host_port address_;
+    std::unique_ptr<tcp_socket> socket_;
+    std::unique_ptr<http2_session> session_;
+    std::map<std::int32_t, pending> waiting_;
+    QTimer timer_;
+    instant retry_at_{};
+    std::uint64_t sent_bytes_ = 0;
+    std::uint64_t messages_ = 0;
+    bool breaking_ = false;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/peer/include/dandelioncrank/peer/peer_server.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "dandelioncrank/settings/settings_reader.hpp"
+
+#include <QByteArray>
+#include <QObject>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace dandelioncrank {
+
+class tcp_listener;
+class tcp_socket;
+class http2_session;
+
+/// Takes messages of other daemons.
+class peer_server : public QObject
+{
+  public:
+    /// Answers one message, at once or later; nothing tells the sender that
+    /// the message could not be used.
+    using reply = std::function<void(std::optional<QByteArray>)>;
+    using message_handler = std::function<void(QByteArray body, reply)>;
+
+    /// Throws std::system_error if the address cannot be had.
+    peer_server(const host_port& address, message_handler on_message);
+    ~peer_server() override;
+
+    [[nodiscard]] int port() const;
+    [[nodiscard]] std::uint64_t received_bytes() const { return bytes_; }
+    [[nodiscard]] std::uint64_t received_messages() const { return messages_; }
+
+  private:
+    struct connection
+    {
+        std::unique_ptr<tcp_socket> socket_;
+        std::unique_ptr<http2_session> session_;
+    };
+
+    void accept(int descriptor);
+    void drop(std::uint64_t number);
+    void answer(std::uint64_t number, std::int32_t stream,
+                const std::optional<QByteArray>& body);
+
+    message_handler on_message_;
+    std::map<std::uint64_t, connection> connections_;
+    std::uint64_t next_number_ = 0;
+    std::uint64_t bytes_ = 0;
+    std::uint64_t messages_ = 0;
+    std::unique_ptr<tcp_listener> listener_;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/peer/src/http2_session.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "dandelioncrank/http/tcp_socket.hpp"
+
+#include <QByteArray>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include <nghttp2/nghttp2.h>
+
+namespace dandelioncrank {
+
+/// Largest body of one message between daemons, in bytes.
+inline constexpr qsizetype max_peer_body = 64 * 1024 * 1024;
+
+/// One HTTP/2 connection between two daemons over an open socket. Each
+/// message is one stream: a POST with a body, answered with a body.
+class http2_session
+{
+  public:
+    enum class side
+    {
+        client,
+        server
+    };
+
+    /// The socket must outlive the session.
+    http2_session(side which, tcp_socket& socket);
+    ~http2_session();
+
+    http2_session(const http2_session&) = delete;
+    http2_session& operator=(const http2_session&) = delete;
+
+    /// Client: opens a stream; its number, or a negative error.
+    std::int32_t submit_request(const QByteArray& body);
+    /// Server: answers a stream.
+    void submit_answer(std::int32_t stream, bool good, const QByteArray& body);
+    /// Takes the bytes that the socket has read; false if they are not
+    /// HTTP/2 and the connection must end.
+    bool take_input();
+    /// Sends what is ready to go.
+    void flush();
+
+    /// Server: a whole request; client: a whole answer.
+    std::function<void(std::int32_t stream, bool good, QByteArray body)>
+        on_message_;
+    /// Client: the stream ended without a whole answer.
+    std::function<void(std::int32_t stream)> on_stream_lost_;
+
+  private:
+    struct stream_state
+    {
+        QByteArray received_;
+        QByteArray to_send_;
+        qsizetype sent_ = 0;
+        bool good_ = true;
+        bool delivered_ = false;
+    };
+
+    struct callbacks;
+
+    side side_;
+    tcp_socket& socket_;
+    nghttp2_session* session_ = nullptr;
+    std::map<std::int32_t, stream_state> streams_;
+    bool flushing_ = false;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/peer/src/peer_server.cpp
@@ -0,0 +1,92 @@
+#include "dandelioncrank/peer/peer_server.hpp"
+
+#include "dandelioncrank/http/tcp_listener.hpp"
+#include "dandelioncrank/http/tcp_socket.hpp"
+#include "http2_session.hpp"
+
+#include <QPointer>
+
+#include <unistd.h>
+
+namespace dandelioncrank {
+
+namespace {
+
+constexpr std::size_t max_connections = 512;
+
+} // namespace
+
+peer_server::peer_server(const host_port& address, message_handler on_message)
+    : on_message_(std::move(on_message)),
+      listener_(std::make_unique<tcp_listener>(
+          address, [this](int descriptor) { accept(descriptor); }))
+{
+}
+
+peer_server::~peer_server() = default;
+
+int peer_server::port() const
+{
+    return listener_->port();
+}
+
+void peer_server::accept(int descriptor)
+{
+    if (connections_.size() >= max_connections) {
+        ::close(descriptor);
+        return;
+    }
+    std::uint64_t number = ++next_number_;
+    connection& item = connections_[number];
+    item.socket_ = std::make_unique<tcp_socket>();
+    item.session_ = std::make_unique<http2_session>(http2_session::side::server,
+                                                    *item.socket_);
+    item.session_->on_message_ = [this, number](std::int32_t stream, bool,
+                                                QByteArray body) {
+        ++messages_;
+        bytes_ += static_cast<std::uint64_t>(body.size());
+        QPointer<peer_server> self(this);
+        on_message_(std::move(body),
+                    [self, number, stream](std::optional<QByteArray> reply) {
+                        if (self)
+                            self->answer(number, stream, reply);
+                    });
+    };
+    item.socket_->on_input_ = [this, number] {
+        auto found = connections_.find(number);
+        if (found != connections_.end() &&
+            !found->second.session_->take_input())
+            drop(number);
+    };
+    item.socket_->on_input_end_ = [this, number] { drop(number); };
+    item.socket_->on_broken_ = [this, number](const std::string&) {
+        drop(number);
+    };
+    item.socket_->adopt(descriptor);
+    item.session_->flush();
+}
+
+void peer_server::drop(std::uint64_t number)
+{
+    auto found = connections_.find(number);
+    if (found == connections_.end())
+        return;
+    found->second.socket_->close();
+    // The session or the socket is on the call stack now.
+    QMetaObject::invokeMethod(
+        this, [this, number] { connections_.erase(number); },
+        Qt::QueuedConnection);
+}
+
+void peer_server::answer(std::uint64_t number, std::int32_t stream,
+                         const std::optional<QByteArray>& body)
+{
+    auto found = connections_.find(number);
+    if (found == connections_.end())
+        return;
+    found->second.session_->submit_answer(stream, body.has_value(),
+                                          body.value_or(QByteArray()));
+    found->second.session_->flush();
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/peer/test/peer_test.cpp
@@ -0,0 +1,149 @@
+#include "dandelioncrank/http/tcp_socket.hpp"
+#include "dandelioncrank/peer/peer_link.hpp"
+#include "dandelioncrank/peer/peer_server.hpp"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+
+#include <catch2/catch.hpp>
+
+using namespace dandelioncrank;
+using namespace std::chrono_literals;
+
+namespace {
+
+void ensure_application()
+{
+    static int count = 1;
+    static char name[] = "test";
+    static char* words[] = {name, nullptr};
+    static QCoreApplication instance(count, words);
+}
+
+template <class Condition>
+void run_until(Condition holds)
+{
+    instant give_up = steady_now() + 60s;
+    while (!holds() && steady_now() < give_up)
+        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 100);
+    REQUIRE(holds());
+}
+
+const host_port any_port{"127.0.0.1", 0};
+
+} // namespace
+
+TEST_CASE("each message gets its own answer, crossed or not", "[peer]")
+{
+    ensure_application();
+    std::vector<std::pair<QByteArray, peer_server::reply>> held;
+    peer_server server(any_port, [&](QByteArray body, auto reply) {
+        held.emplace_back(body, reply);
+    });
+    peer_link link({"127.0.0.1", server.port()});
+    std::map<int, QByteArray> answers;
+    for (int i = 0; i < 50; ++i) {
+        link.send("m" + QByteArray::number(i), 30s,
+                  [&answers, i](std::optional<QByteArray> answer) {
+                      answers[i] = answer.value_or("none");
+                  });
+    }
+    run_until([&] { return held.size() == 50; });
+    for (auto it = held.rbegin(); it != held.rend(); ++it)
+        it->second("re:" + it->first);
+    run_until([&] { return answers.size() == 50; });
+    for (int i = 0; i < 50; ++i)
+        CHECK(answers[i] == "re:m" + QByteArray::number(i));
+}
+
+TEST_CASE("a large message arrives whole", "[peer]")
+{
+    ensure_application();
+    peer_server server(any_port, [&](QByteArray body, auto reply) {
+        std::reverse(body.begin(), body.end());
+        reply(body);
+    });
+    peer_link link({"127.0.0.1", server.port()});
+    QByteArray large(20'000'000, 'x');
+    large[0] = 'a';
+    std::optional<QByteArray> got;
+    bool done = false;
+    link.send(large, 30s, [&](std::optional<QByteArray> answer) {
+        got = std::move(answer);
+        done = true;
+    });
+    run_until([&] { return done; });
+    REQUIRE(got);
+    CHECK(got->size() == large.size());
+    CHECK(got->back() == 'a');
+}
+
+TEST_CASE("a refused message is told from an answer", "[peer]")
+{
+    ensure_application();
+    peer_server server(any_port,
+                       [&](QByteArray, auto reply) { reply(std::nullopt); });
+    peer_link link({"127.0.0.1", server.port()});
+    bool done = false;
+    link.send("x", 30s, [&](std::optional<QByteArray> answer) {
+        CHECK_FALSE(answer);
+        done = true;
+    });
+    run_until([&] { return done; });
+}
+
+TEST_CASE("messages fail while nobody listens and pass afterwards", "[peer]")
+{
+    ensure_application();
+    auto server = std::make_unique<peer_server>(
+        any_port, [](QByteArray body, auto reply) { reply(body); });
+    int port = server->port();
+    peer_link link({"127.0.0.1", port});
+    server.reset();
+    bool failed = false;
+    link.send("x", 30s, [&](auto answer) { failed = !answer; });
+    run_until([&] { return failed; });
+    server = std::make_unique<peer_server>(
+        host_port{"127.0.0.1", port},
+        [](QByteArray body, auto reply) { reply(body); });
+    bool passed = false;
+    bool waiting = false;
+    run_until([&] {
+        if (!waiting && !passed) {
+            waiting = true;
+            link.send("x", 30s, [&](auto answer) {
+                passed = answer.has_value();
+                waiting = false;
+            });
+        }
+        return passed;
+    });
+}
+
+TEST_CASE("a server that never answers costs the time limit only", "[peer]")
+{
+    ensure_application();
+    peer_server server(any_port, [](QByteArray, auto) {});
+    peer_link link({"127.0.0.1", server.port()});
+    bool failed = false;
+    link.send("x", 50ms, [&](auto answer) { failed = !answer; });
+    run_until([&] { return failed; });
+}
+
+TEST_CASE("bytes that are not HTTP/2 end the connection only", "[peer]")
+{
+    ensure_application();
+    peer_server server(any_port,
+                       [](QByteArray body, auto reply) { reply(body); });
+    tcp_socket stranger;
+    bool ended = false;
+    stranger.on_input_end_ = [&] { ended = true; };
+    stranger.on_broken_ = [&](const std::string&) { ended = true; };
+    stranger.connect_to({"127.0.0.1", server.port()});
+    stranger.write(std::string(5000, 'z'));
+    run_until([&] { return ended; });
+    peer_link link({"127.0.0.1", server.port()});
+    bool passed = false;
+    link.send("x", 30s, [&](auto answer) { passed = answer.has_value(); });
+    run_until([&] { return passed; });
+}
--- /dev/null
+++ b/libs/storage/src/record_log.cpp
@@ -0,0 +1,158 @@
+#include "dandelioncrank/storage/record_log.hpp"
+
+#include "dandelioncrank/core/wire.hpp"
+#include "dandelioncrank/storage/storage_error.hpp"
+
+#include <QFile>
+#include <QtEndian>
+
+#include <cerrno>
+#include <cstring>
+#include <optional>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace dandelioncrank {
+
+namespace {
+
+// Mark, payload size and checksum stand before each payload.
+constexpr quint32 record_mark = 0xdc10c0de;
+constexpr qsizetype header_bytes = 16;
+constexpr quint32 max_payload = 256u * 1024 * 1024;
+
+quint64 checksum(const QByteArray& bytes, qsizetype at, qsizetype size)
+{
+    return stable_hash(
+        {bytes.constData() + at, static_cast<std::size_t>(size)});
+}
+
+/// Size of the payload if a whole record starts there.
+std::optional<qsizetype> record_at(const QByteArray& bytes, qsizetype offset)
+{
+    if (bytes.size() - offset < header_bytes)
+        return std::nullopt;
+    const char* head = bytes.constData() + offset;
+    auto mark = qFromLittleEndian<quint32>(head);
+    auto size = qFromLittleEndian<quint32>(head + 4);
+    auto sum = qFromLittleEndian<quint64>(head + 8);
+    bool whole =
+        mark == record_mark && size <= max_payload &&
+        bytes.size() - offset - header_bytes >= static_cast<qsizetype>(size);
+    if (!whole || checksum(bytes, offset + header_bytes, size) != sum)
+        return std::nullopt;
+    return static_cast<qsizetype>(size);
+}
+
+} // namespace
+
+QByteArray record_log::frame(const QByteArray& payload)
+{
+    QByteArray bytes(header_bytes, '\0');
+    qToLittleEndian<quint32>(record_mark, bytes.data());
+    qToLittleEndian<quint32>(static_cast<quint32>(payload.size()),
+                             bytes.data() + 4);
+    qToLittleEndian<quint64>(checksum(payload, 0, payload.size()),
+                             bytes.data() + 8);
+    return bytes + payload;
+}
+
+record_log::record_log(std::string file, disk_calls calls)
+    : file_(std::move(file)), calls_(std::move(calls))
+{
+    descriptor_ =
+        ::open(file_.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    if (descriptor_ < 0)
+        throw storage_error(file_, 0, std::strerror(errno),
+                            "check the rights of the folder");
+    try {
+        load();
+    } catch (...) {
+        ::close(descriptor_);
+        throw;
+    }
+}
+
+record_log::~record_log()
+{
+    ::close(descriptor_);
+}
+
+void record_log::load()
+{
+    QFile source(QString::fromStdString(file_));
+    if (!source.open(QIODevice::ReadOnly))
+        throw storage_error(file_, 0, source.errorString().toStdString(),
+                            "check the rights of the file");
+    QByteArray bytes = source.readAll();
+    qsizetype offset = 0;
+    while (offset < bytes.size()) {
+        auto size = record_at(bytes, offset);
+        if (!size)
+            break;
+        records_.push_back(bytes.mid(offset + header_bytes, *size));
+        offset += header_bytes + *size;
+    }
+    size_ = static_cast<std::uint64_t>(offset);
+    if (offset == bytes.size())
+        return;
+    if (has_record_after(bytes, offset + 1))
+        throw storage_error(file_, size_, "a record is damaged",
+                            "replace this voter by a new one; its data "
+                            "cannot be trusted");
+    recovery_.torn_bytes_ = static_cast<std::uint64_t>(bytes.size() - offset);
+    bool cut = ::ftruncate(descriptor_, static_cast<off_t>(offset)) == 0 &&
+               calls_.sync_(descriptor_) == 0;
+    if (!cut)
+        throw storage_error(file_, size_, std::strerror(errno),
+                            "replace the disk");
+}
+
+bool record_log::has_record_after(const QByteArray& bytes, qsizetype offset)
+{
+    QByteArray mark(4, '\0');
+    qToLittleEndian<quint32>(record_mark, mark.data());
+    for (qsizetype at = bytes.indexOf(mark, offset); at >= 0;
+         at = bytes.indexOf(mark, at + 1)) {
+        if (record_at(bytes, at))
+            return true;
+    }
+    return false;
+}
+
+void record_log::append(const QByteArray& payload)
+{
+    pending_ += frame(payload);
+}
+
+void record_log::sync()
+{
+    if (failed_)
+        throw storage_error(file_, size_, "an earlier write failed",
+                            "restart the voter on a working disk");
+    if (pending_.isEmpty())
+        return;
+    qsizetype done = 0;
+    while (done < pending_.size()) {
+        auto written =
+            calls_.write_(descriptor_, pending_.constData() + done,
+                          static_cast<std::size_t>(pending_.size() - done));
+        if (written <= 0) {
+            failed_ = true;
+            throw storage_error(file_, size_ + static_cast<quint64>(done),
+                                std::strerror(errno), "free space");
+        }
+        done += written;
+    }
+    // After a failed sync nobody knows what is on the disk.
+    if (calls_.sync_(descriptor_) != 0) {
+        failed_ = true;
+        throw storage_error(file_, size_, std::strerror(errno),
+                            "replace the disk and the voter");
+    }
+    size_ += static_cast<std::uint64_t>(pending_.size());
+    pending_.clear();
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/storage/src/voter_storage.cpp
@@ -0,0 +1,182 @@
+#include "dandelioncrank/storage/voter_storage.hpp"
+
+#include "dandelioncrank/storage/storage_error.hpp"
+
+#include <algorithm>
+
+namespace dandelioncrank {
+
+namespace {
+
+/// First record of each segment: where its entries go on from.
+struct segment_base
+{
+    log_index index_ = 0;
+    term_number term_ = 0;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(index_, term_);
+    }
+};
+
+struct truncation
+{
+    log_index from_ = 0;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(from_);
+    }
+};
+
+using log_record =
+    std::variant<segment_base, hard_state, truncation, log_entry>;
+
+/// Whole-file record with its checksum.
+QByteArray seal(const QByteArray& payload)
+{
+    return record_log::frame(payload);
+}
+
+QByteArray unseal(const QByteArray& bytes, const std::string& file)
+{
+    constexpr qsizetype header = 16;
+    bool whole =
+        bytes.size() >= header && record_log::frame(bytes.mid(header)) == bytes;
+    if (!whole)
+        throw storage_error(file, 0, "the file is damaged",
+                            "replace this voter by a new one");
+    return bytes.mid(header);
+}
+
+} // namespace
+
+voter_storage::voter_storage(std::string path, disk_calls calls)
+    : folder_(std::move(path), std::move(calls))
+{
+    if (auto bytes = folder_.read_file("identity"))
+        identity_ =
+            from_wire<voter_name>(unseal(*bytes, folder_.file("identity")));
+    if (auto bytes = folder_.read_file("snapshot"))
+        snapshot_ =
+            from_wire<log_snapshot>(unseal(*bytes, folder_.file("snapshot")));
+    if (auto bytes = folder_.read_file("segment"))
+        segment_ =
+            from_wire<std::uint64_t>(unseal(*bytes, folder_.file("segment")));
+    open_log();
+}
+
+voter_storage::~voter_storage() = default;
+
+std::string voter_storage::segment_name(std::uint64_t number) const
+{
+    return "log-" + std::to_string(number);
+}
+
+void voter_storage::open_log()
+{
+    log_ = std::make_unique<record_log>(folder_.file(segment_name(segment_)),
+                                        folder_.calls());
+    segment_base base;
+    for (const QByteArray& bytes : log_->records()) {
+        auto record = from_wire<log_record>(bytes);
+        if (const auto* item = std::get_if<segment_base>(&record))
+            base = *item;
+        if (const auto* item = std::get_if<hard_state>(&record))
+            hard_state_ = *item;
+        if (const auto* item = std::get_if<truncation>(&record)) {
+            std::erase_if(entries_, [item](const log_entry& entry) {
+                return entry.index_ >= item->from_;
+            });
+        }
+        if (const auto* item = std::get_if<log_entry>(&record))
+            entries_.push_back(*item);
+    }
+    log_->forget_records();
+    // A crash may have come between a snapshot and the segment after it.
+    // Entries stay only if they go on from that very snapshot.
+    bool goes_on =
+        base.index_ == snapshot_.index_ && base.term_ == snapshot_.term_;
+    for (const log_entry& entry : entries_) {
+        goes_on = goes_on || (entry.index_ == snapshot_.index_ &&
+                              entry.term_ == snapshot_.term_);
+    }
+    std::erase_if(entries_, [&](const log_entry& entry) {
+        return !goes_on || entry.index_ <= snapshot_.index_;
+    });
+}
+
+void voter_storage::initialize(const voter_name& identity,
+                               const membership& members)
+{
+    identity_ = identity;
+    snapshot_.members_ = members;
+    folder_.replace_file("snapshot", seal(to_wire(snapshot_)));
+    // The identity comes last: it marks the folder as complete.
+    folder_.replace_file("identity", seal(to_wire(identity_)));
+}
+
+replica_start voter_storage::load()
+{
+    return {identity_, hard_state_, snapshot_, entries_};
+}
+
+void voter_storage::store(const consensus_output& output)
+{
+    if (!output.needs_disk())
+        return;
+    if (output.hard_state_)
+        hard_state_ = *output.hard_state_;
+    if (output.truncate_from_) {
+        std::erase_if(entries_, [&](const log_entry& entry) {
+            return entry.index_ >= *output.truncate_from_;
+        });
+    }
+    entries_.insert(entries_.end(), output.entries_.begin(),
+                    output.entries_.end());
+    if (output.snapshot_) {
+        // The new segment holds all of this output.
+        start_segment(*output.snapshot_);
+        return;
+    }
+    if (output.hard_state_)
+        log_->append(to_wire(log_record(*output.hard_state_)));
+    if (output.truncate_from_)
+        log_->append(to_wire(log_record(truncation{*output.truncate_from_})));
+    for (const log_entry& entry : output.entries_)
+        log_->append(to_wire(log_record(entry)));
+    log_->sync();
+}
+
+void voter_storage::start_segment(const log_snapshot& snapshot)
+{
+    folder_.replace_file("snapshot", seal(to_wire(snapshot)));
+    snapshot_ = snapshot;
+    std::erase_if(entries_, [&](const log_entry& entry) {
+        return entry.index_ <= snapshot.index_;
+    });
+    std::uint64_t old = segment_++;
+    // A file of that name can only be left from a crash right here.
+    folder_.remove_file(segment_name(segment_));
+    auto next = std::make_unique<record_log>(
+        folder_.file(segment_name(segment_)), folder_.calls());
+    next->append(
+        to_wire(log_record(segment_base{snapshot.index_, snapshot.term_})));
+    next->append(to_wire(log_record(hard_state_)));
+    for (const log_entry& entry : entries_)
+        next->append(to_wire(log_record(entry)));
+    next->sync();
+    folder_.replace_file("segment", seal(to_wire(segment_)));
+    log_ = std::move(next);
+    folder_.remove_file(segment_name(old));
+}
+
+const log_recovery& voter_storage::recovery() const
+{
+    return log_->recovery();
+}
+
+} // namespace dandelioncrank
