--- /dev/null
+++ b/libs/gateway/include/dandelioncrank/gateway/gateway.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "dandelioncrank/gateway/gateway_hooks.hpp"
+#include "dandelioncrank/gateway/gateway_options.hpp"
+#include "dandelioncrank/gateway/routing_table.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace dandelioncrank {
+
+class gateway_loop;
+
+/// Serves callers on several threads, each with an event loop and a
+/// listener of its own on the same address.
+class gateway
+{
+  public:
+    /// Starts the threads. Throws std::system_error if the address cannot
+    /// be had.
+    gateway(const gateway_options& options, const routing_table_cell& table,
+            gateway_hooks hooks);
+    ~gateway();
+
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+
+    /// Takes no new connections; requests in flight go on to their end.
+    void stop_accepting();
+    [[nodiscard]] std::size_t in_flight() const;
+    [[nodiscard]] int port() const { return port_; }
+
+  private:
+    class worker_thread;
+
+    gateway_hooks hooks_;
+    std::vector<std::unique_ptr<worker_thread>> threads_;
+    int port_ = 0;
+};
+
+} // namespace dandelioncrank
