gateway: a timed-out request is told from a broken one

Cause: a coarse timer fired before the deadline, and the answer's status was taken from the clock (502 in place of 504 in one run). Change: precise timers; the outcome itself says that the time limit ended it.

--- a/libs/gateway/src/gateway_loop.cpp
+++ b/libs/gateway/src/gateway_loop.cpp
@@ -322,6 +322,7 @@
                           },
                           [&](const request_broken& result) {
                               return_slot(*item, slot_outcome::failed);
+                              item->timed_out_ = result.timed_out_;
                               take_failure(*item, result.reason_, true);
                           }},
                outcome);
@@ -381,7 +382,8 @@
 
 bool gateway_loop::may_try_again(const flow& item) const
 {
-    return item.attempt_ < max_attempts && steady_now() < item.deadline_;
+    return item.attempt_ < max_attempts && !item.timed_out_ &&
+           steady_now() < item.deadline_;
 }
 
 // --- The end
@@ -417,7 +419,7 @@
 
 void gateway_loop::give_unknown(flow& item, const std::string& reason)
 {
-    bool late = steady_now() >= item.deadline_;
+    bool late = item.timed_out_ || steady_now() >= item.deadline_;
     http_response response = json_response(
         late ? 504 : 502,
         "{\"fate\":\"unknown\",\"reason\":\"no whole answer came back\"}\n");
--- a/libs/gateway/src/gateway_loop.hpp
+++ b/libs/gateway/src/gateway_loop.hpp
@@ -47,6 +47,7 @@
         bool claimed_ = false;
         /// Bytes of an earlier try left, and no whole answer came back.
         bool may_have_run_ = false;
+        bool timed_out_ = false;
         std::string last_reason_;
         instant sent_at_;
         std::unique_ptr<client_connection> connection_;
--- a/libs/http/include/dandelioncrank/http/client_connection.hpp
+++ b/libs/http/include/dandelioncrank/http/client_connection.hpp
@@ -30,6 +30,8 @@
 struct request_broken
 {
     std::string reason_;
+    /// The time limit ended it, not the endpoint.
+    bool timed_out_ = false;
 };
 
 using client_outcome =
@@ -58,7 +60,7 @@
 
   private:
     void read_input();
-    void fail(const std::string& reason);
+    void fail(const std::string& reason, bool timed_out = false);
     void finish(client_outcome outcome);
 
     host_port address_;
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -7,8 +7,10 @@
     : address_(address), limits_(limits)
 {
     timer_.setSingleShot(true);
+    // A coarse timer may fire before the deadline.
+    timer_.setTimerType(Qt::PreciseTimer);
     QObject::connect(&timer_, &QTimer::timeout, this,
-                     [this] { fail("no answer within the deadline"); });
+                     [this] { fail("no answer within the deadline", true); });
     socket_.on_input_ = [this] { read_input(); };
     socket_.on_input_end_ = [this] {
         fail("the endpoint closed the connection");
@@ -69,7 +71,7 @@
     finish(request_answered{std::move(response)});
 }
 
-void client_connection::fail(const std::string& reason)
+void client_connection::fail(const std::string& reason, bool timed_out)
 {
     std::uint64_t sent = socket_.sent_bytes() - sent_before_;
     reusable_ = false;
@@ -79,7 +81,7 @@
     if (sent == 0)
         finish(request_not_sent{reason});
     else
-        finish(request_broken{reason});
+        finish(request_broken{reason, timed_out});
 }
 
 void client_connection::abort(const std::string& reason)
