--- /dev/null
+++ b/apps/tool_client.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <QJsonObject>
+#include <QNetworkAccessManager>
+#include <QString>
+
+#include <optional>
+#include <string>
+
+namespace dandelioncrank {
+
+/// Answer to one call; status 0 if the daemon could not be reached.
+struct tool_answer
+{
+    int status_ = 0;
+    QJsonObject body_;
+    QString error_;
+};
+
+/// Calls of the command-line tool to one daemon. Every call may be sent
+/// again: submits carry an id that makes a resend the same request.
+class tool_client
+{
+  public:
+    tool_client(std::string control_address, std::string operator_address,
+                std::string token);
+
+    [[nodiscard]] tool_answer get(const QString& path);
+    [[nodiscard]] tool_answer post(const QString& path,
+                                   const QJsonObject& body);
+    [[nodiscard]] tool_answer remove(const QString& path);
+    /// Text of a page on the operators' port.
+    [[nodiscard]] std::optional<QByteArray> page(const QString& path);
+
+  private:
+    [[nodiscard]] QNetworkRequest request(const std::string& address,
+                                          const QString& path) const;
+    [[nodiscard]] static tool_answer wait(QNetworkReply* reply);
+
+    std::string control_address_;
+    std::string operator_address_;
+    std::string token_;
+    QNetworkAccessManager network_;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/apps/tool_commands.cpp
@@ -0,0 +1,524 @@
+#include "tool_commands.hpp"
+
+#include <QFile>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QThread>
+#include <QUuid>
+
+#include <functional>
+#include <iostream>
+#include <map>
+
+namespace dandelioncrank {
+
+namespace {
+
+constexpr int submit_tries = 5;
+constexpr unsigned long wait_interval_ms = 200;
+
+/// Everything that one command works with.
+struct command_context
+{
+    tool_client& client_;
+    const tool_options& options_;
+    std::vector<std::string> arguments_;
+};
+
+tool_exit exit_for(int status)
+{
+    switch (status) {
+    case 0:
+        return tool_exit::failed;
+    case 404:
+        return tool_exit::not_found;
+    case 409:
+        return tool_exit::conflict;
+    case 422:
+        return tool_exit::invalid;
+    case 504:
+        return tool_exit::unknown;
+    default:
+        break;
+    }
+    if (status >= 200 && status < 300)
+        return tool_exit::success;
+    return tool_exit::refused;
+}
+
+std::string text_of(const QJsonValue& value)
+{
+    if (value.isString())
+        return value.toString().toStdString();
+    if (value.isBool())
+        return value.toBool() ? "yes" : "no";
+    if (value.isDouble())
+        return std::to_string(value.toInteger());
+    if (value.isArray()) {
+        std::string text;
+        for (const QJsonValue& item : value.toArray())
+            text += (text.empty() ? "" : " ") + text_of(item);
+        return text;
+    }
+    return {};
+}
+
+void print_json(const QJsonObject& object)
+{
+    std::cout
+        << QJsonDocument(object).toJson(QJsonDocument::Indented).toStdString();
+}
+
+/// "name: value" lines.
+void print_fields(const QJsonObject& object)
+{
+    for (auto it = object.begin(); it != object.end(); ++it) {
+        std::string text = text_of(it.value());
+        if (!text.empty())
+            std::cout << it.key().toStdString() << ": " << text << '\n';
+    }
+}
+
+void print_findings(const QJsonArray& items)
+{
+    for (const QJsonValue& value : items) {
+        QJsonObject item = value.toObject();
+        std::cerr << text_of(item["file"]);
+        if (item["line"].toInt() > 0)
+            std::cerr << ':' << item["line"].toInt() << ':'
+                      << item["column"].toInt();
+        std::cerr << ": " << text_of(item["cause"]) << "; "
+                  << text_of(item["remedy"]) << '\n';
+    }
+}
+
+/// Columns of the named fields, one line an item.
+void print_table(const QJsonArray& items,
+                 const std::vector<std::string>& columns)
+{
+    std::vector<std::vector<std::string>> rows = {columns};
+    for (const QJsonValue& value : items) {
+        std::vector<std::string> row;
+        for (const std::string& column : columns)
+            row.push_back(
+                text_of(value.toObject()[QString::fromStdString(column)]));
+        rows.push_back(row);
+    }
+    std::vector<std::size_t> widths(columns.size(), 0);
+    for (const auto& row : rows) {
+        for (std::size_t i = 0; i < row.size(); ++i)
+            widths[i] = std::max(widths[i], row[i].size());
+    }
+    for (const auto& row : rows) {
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            bool last = i + 1 == row.size();
+            std::cout << row[i]
+                      << (last ? std::string("\n")
+                               : std::string(widths[i] - row[i].size() + 2,
+                                             ' '));
+        }
+    }
+}
+
+tool_exit report_error(const tool_answer& answer)
+{
+    if (answer.body_.contains("findings"))
+        print_findings(answer.body_["findings"].toArray());
+    else if (answer.status_ == 0)
+        std::cerr << "dandelioncrank: the daemon did not answer: "
+                  << answer.error_.toStdString() << '\n';
+    else
+        print_fields(answer.body_);
+    return exit_for(answer.status_);
+}
+
+tool_exit finish(const command_context& context, const tool_answer& answer,
+                 const std::function<void(const QJsonObject&)>& print)
+{
+    if (context.options_.json_) {
+        print_json(answer.body_);
+        return exit_for(answer.status_);
+    }
+    if (exit_for(answer.status_) != tool_exit::success)
+        return report_error(answer);
+    print(answer.body_);
+    return tool_exit::success;
+}
+
+std::optional<QByteArray> read_file(const std::string& name)
+{
+    QFile file(QString::fromStdString(name));
+    if (!file.open(QIODevice::ReadOnly)) {
+        std::cerr << name
+                  << ": cannot be read: " << file.errorString().toStdString()
+                  << '\n';
+        return std::nullopt;
+    }
+    return file.readAll();
+}
+
+// --- Configuration
+
+tool_exit check_config(const command_context& context)
+{
+    tool_exit worst = tool_exit::success;
+    for (const std::string& name : context.arguments_) {
+        auto text = read_file(name);
+        if (!text)
+            return tool_exit::wrong_usage;
+        auto answer = context.client_.post(
+            "/v1/config/check", {{"file", QString::fromStdString(name)},
+                                 {"text", QString::fromUtf8(*text)}});
+        tool_exit result = finish(context, answer, [&name](const QJsonObject&) {
+            std::cout << name << ": valid\n";
+        });
+        if (result != tool_exit::success)
+            worst = result;
+    }
+    return worst;
+}
+
+/// Version in force of the text that a file would replace.
+qint64 version_in_force(const command_context& context, const QString& text)
+{
+    auto answer = context.client_.get("/v1/config");
+    QJsonObject texts = answer.body_["texts"].toObject();
+    // The subject is in the first words: "budget: NAME" or "town: NAME".
+    QString first = text.section('\n', 0, 0).trimmed();
+    QString subject = first.startsWith("budget:")
+                          ? QString("budget")
+                          : first.section(':', 1).trimmed();
+    return texts[subject].toObject()["version"].toInteger(0);
+}
+
+tool_exit submit_one(const command_context& context, const std::string& name)
+{
+    auto text = read_file(name);
+    if (!text)
+        return tool_exit::wrong_usage;
+    QString body = QString::fromUtf8(*text);
+    // The same id on every try: a resend is the same request.
+    QString id = context.options_.request_id_.empty()
+                     ? QUuid::createUuid().toString(QUuid::WithoutBraces)
+                     : QString::fromStdString(context.options_.request_id_);
+    qint64 replaces = context.options_.replaces_ >= 0
+                          ? context.options_.replaces_
+                          : version_in_force(context, body);
+    QJsonObject call{
+        {"file", QString::fromStdString(name)},
+        {"text", body},
+        {"author", QString::fromStdString(context.options_.author_)},
+        {"request_id", id},
+        {"replaces", replaces}};
+    tool_answer answer;
+    for (int i = 0; i < submit_tries; ++i) {
+        answer = context.client_.post("/v1/config/submit", call);
+        bool settled = answer.status_ != 0 && answer.status_ != 503 &&
+                       answer.status_ != 504;
+        if (settled)
+            break;
+        QThread::msleep(wait_interval_ms);
+    }
+    return finish(context, answer, [&name](const QJsonObject& object) {
+        std::cout << name << ": " << text_of(object["outcome"]) << ", version "
+                  << text_of(object["version"]) << ", revision "
+                  << text_of(object["revision"]) << '\n';
+    });
+}
+
+tool_exit submit_config(const command_context& context)
+{
+    for (const std::string& name : context.arguments_) {
+        tool_exit result = submit_one(context, name);
+        if (result != tool_exit::success)
+            return result;
+    }
+    return tool_exit::success;
+}
+
+tool_exit show_config(const command_context& context)
+{
+    return finish(context, context.client_.get("/v1/config"),
+                  [](const QJsonObject& object) {
+                      std::cout << "revision: " << text_of(object["revision"])
+                                << '\n';
+                      QJsonObject texts = object["texts"].toObject();
+                      for (auto it = texts.begin(); it != texts.end(); ++it) {
+                          QJsonObject item = it.value().toObject();
+                          std::cout << "\n# " << it.key().toStdString()
+                                    << " version " << text_of(item["version"])
+                                    << " by " << text_of(item["author"]) << '\n'
+                                    << text_of(item["text"]);
+                      }
+                  });
+}
+
+// Lines of the file that the text in force lacks, and the reverse.
+tool_exit diff_config(const command_context& context)
+{
+    const std::string& name = context.arguments_.front();
+    auto text = read_file(name);
+    if (!text)
+        return tool_exit::wrong_usage;
+    auto answer = context.client_.get("/v1/config");
+    if (exit_for(answer.status_) != tool_exit::success)
+        return report_error(answer);
+    QString mine = QString::fromUtf8(*text);
+    QString first = mine.section('\n', 0, 0).trimmed();
+    QString subject = first.startsWith("budget:")
+                          ? QString("budget")
+                          : first.section(':', 1).trimmed();
+    QString theirs =
+        answer.body_["texts"].toObject()[subject].toObject()["text"].toString();
+    QStringList old_lines = theirs.split('\n');
+    QStringList new_lines = mine.split('\n');
+    for (const QString& line : old_lines) {
+        if (!new_lines.contains(line))
+            std::cout << "- " << line.toStdString() << '\n';
+    }
+    for (const QString& line : new_lines) {
+        if (!old_lines.contains(line))
+            std::cout << "+ " << line.toStdString() << '\n';
+    }
+    return tool_exit::success;
+}
+
+tool_exit show_history(const command_context& context)
+{
+    return finish(context, context.client_.get("/v1/config/history"),
+                  [](const QJsonObject& object) {
+                      print_table(
+                          object["history"].toArray(),
+                          {"revision", "subject", "version", "author", "at"});
+                  });
+}
+
+tool_exit show_rollout(const command_context& context)
+{
+    return finish(context, context.client_.get("/v1/config/rollout"),
+                  [](const QJsonObject& object) {
+                      std::cout << "newest: " << text_of(object["newest"])
+                                << '\n';
+                      print_table(object["hosts"].toArray(),
+                                  {"host", "zone", "revision", "serving",
+                                   "leaving", "voter", "zone_epoch"});
+                      if (!object["silent"].toArray().isEmpty())
+                          std::cout << "silent: " << text_of(object["silent"])
+                                    << '\n';
+                  });
+}
+
+// --- Jobs
+
+tool_exit submit_job(const command_context& context)
+{
+    auto text = read_file(context.arguments_.front());
+    if (!text)
+        return tool_exit::wrong_usage;
+    QJsonObject job = QJsonDocument::fromJson(*text).object();
+    if (!job.contains("id"))
+        job["id"] = QUuid::createUuid().toString(QUuid::WithoutBraces);
+    tool_answer answer;
+    for (int i = 0; i < submit_tries; ++i) {
+        answer = context.client_.post("/v1/jobs", job);
+        bool settled = answer.status_ != 0 && answer.status_ != 503 &&
+                       answer.status_ != 504;
+        if (settled)
+            break;
+        QThread::msleep(wait_interval_ms);
+    }
+    return finish(context, answer, print_fields);
+}
+
+QString job_path(const command_context& context)
+{
+    return "/v1/jobs/" + QString::fromStdString(context.arguments_.front());
+}
+
+tool_exit show_job(const command_context& context)
+{
+    return finish(context, context.client_.get(job_path(context)),
+                  print_fields);
+}
+
+tool_exit cancel_job(const command_context& context)
+{
+    return finish(context, context.client_.remove(job_path(context)),
+                  print_fields);
+}
+
+tool_exit list_jobs(const command_context& context)
+{
+    return finish(context, context.client_.get("/v1/jobs"),
+                  [](const QJsonObject& object) {
+                      print_table(object["jobs"].toArray(),
+                                  {"id", "team", "state", "tasks",
+                                   "accelerators", "waited_ms"});
+                  });
+}
+
+tool_exit wait_job(const command_context& context)
+{
+    static const QStringList final_states = {"completed", "failed", "cancelled",
+                                             "not-run", "unknown"};
+    while (true) {
+        tool_answer answer = context.client_.get(job_path(context));
+        bool gone = answer.status_ == 404;
+        QString state = answer.body_["state"].toString();
+        if (gone || final_states.contains(state)) {
+            tool_exit result = finish(context, answer, print_fields);
+            bool good = result == tool_exit::success && state == "completed";
+            return good || result != tool_exit::success ? result
+                                                        : tool_exit::refused;
+        }
+        QThread::msleep(wait_interval_ms);
+    }
+}
+
+// --- Views
+
+tool_exit show_teams(const command_context& context)
+{
+    return finish(context, context.client_.get("/v1/teams"),
+                  [](const QJsonObject& object) {
+                      print_table(object["teams"].toArray(),
+                                  {"team", "guaranteed", "used", "borrowed",
+                                   "reclaimable", "short", "waiting",
+                                   "reclaim_ms"});
+                  });
+}
+
+tool_exit list_workers(const command_context& context)
+{
+    return finish(context, context.client_.get("/v1/workers"),
+                  [](const QJsonObject& object) {
+                      print_table(object["workers"].toArray(),
+                                  {"name", "rack", "accelerators", "free",
+                                   "reserved", "alive", "draining",
+                                   "quarantined"});
+                  });
+}
+
+tool_exit list_endpoints(const command_context& context)
+{
+    return finish(context, context.client_.get("/v1/endpoints"),
+                  [](const QJsonObject& object) {
+                      print_table(object["endpoints"].toArray(),
+                                  {"name", "service", "zone", "address",
+                                   "slots", "state"});
+                  });
+}
+
+tool_exit replace_voter(const command_context& context)
+{
+    auto answer = context.client_.post(
+        "/v1/voters/replace",
+        {{"old", QString::fromStdString(context.arguments_[0])},
+         {"new", QString::fromStdString(context.arguments_[1])}});
+    return finish(context, answer, print_fields);
+}
+
+tool_exit print_page(const command_context& context, const QString& path)
+{
+    auto text = context.client_.page(path);
+    if (!text) {
+        std::cerr << "dandelioncrank: the daemon's operator port did not "
+                     "answer\n";
+        return tool_exit::failed;
+    }
+    bool pretty = path == "/state";
+    std::cout << (pretty ? QJsonDocument::fromJson(*text).toJson(
+                               QJsonDocument::Indented)
+                         : *text)
+                     .toStdString();
+    return tool_exit::success;
+}
+
+struct command_entry
+{
+    std::string words_;
+    std::string arguments_;
+    std::size_t least_arguments_;
+    std::string help_;
+    std::function<tool_exit(const command_context&)> run_;
+};
+
+const std::vector<command_entry>& command_table()
+{
+    static const std::vector<command_entry> table = {
+        {"config check", "FILE...", 1,
+         "check texts against what is in force; changes nothing", check_config},
+        {"config submit", "FILE...", 1,
+         "submit texts; sends the same request again after lost answers",
+         submit_config},
+        {"config show", "", 0, "print all texts in force", show_config},
+        {"config diff", "FILE", 1, "compare a file with the text in force",
+         diff_config},
+        {"config history", "", 0, "list accepted changes (ask a voter)",
+         show_history},
+        {"config rollout", "", 0, "show each host's revision", show_rollout},
+        {"job submit", "FILE", 1, "submit a job, written as JSON", submit_job},
+        {"job show", "ID", 1, "show a job, and why it waits", show_job},
+        {"job cancel", "ID", 1, "cancel a job", cancel_job},
+        {"job list", "", 0, "list jobs that have not ended", list_jobs},
+        {"job wait", "ID", 1, "wait until a job has ended", wait_job},
+        {"team show", "", 0, "guarantees, use and what can be reclaimed",
+         show_teams},
+        {"worker list", "", 0, "list the zone's workers", list_workers},
+        {"endpoint list", "", 0, "list endpoints", list_endpoints},
+        {"voter replace", "OLD NEW", 2,
+         "put a new voter in the place of a lost one (ask the leader)",
+         replace_voter},
+        {"state dump", "", 0, "print everything that a daemon knows",
+         [](const command_context& context) {
+             return print_page(context, "/state");
+         }},
+        {"metrics", "", 0, "print a daemon's metrics",
+         [](const command_context& context) {
+             return print_page(context, "/metrics");
+         }},
+    };
+    return table;
+}
+
+} // namespace
+
+std::string commands_help()
+{
+    std::string text;
+    for (const command_entry& entry : command_table()) {
+        std::string call = "  " + entry.words_ +
+                           (entry.arguments_.empty() ? "" : " ") +
+                           entry.arguments_;
+        call.resize(std::max<std::size_t>(call.size() + 2, 28), ' ');
+        text += call + entry.help_ + '\n';
+    }
+    return text;
+}
+
+tool_exit run_command(tool_client& client, const tool_options& options,
+                      const std::vector<std::string>& words)
+{
+    for (const command_entry& entry : command_table()) {
+        std::string given;
+        std::size_t used = 0;
+        while (used < words.size() && given.size() < entry.words_.size()) {
+            given += (used == 0 ? "" : " ") + words[used];
+            ++used;
+        }
+        if (given != entry.words_)
+            continue;
+        std::vector<std::string> rest(
+            words.begin() + static_cast<std::ptrdiff_t>(used), words.end());
+        if (rest.size() < entry.least_arguments_) {
+            std::cerr << "usage: dandelioncrank " << entry.words_ << ' '
+                      << entry.arguments_ << '\n';
+            return tool_exit::wrong_usage;
+        }
+        return entry.run_({client, options, rest});
+    }
+    std::cerr << "dandelioncrank: unknown command; run with --help\n";
+    return tool_exit::wrong_usage;
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/apps/tool_main.cpp
@@ -0,0 +1,66 @@
+// dandelioncrank: the command-line tool.
+#include "dandelioncrank/settings/settings_reader.hpp"
+#include "tool_commands.hpp"
+
+#include <QCoreApplication>
+
+#include <absl/flags/flag.h>
+
+#include <iostream>
+
+ABSL_FLAG(std::string, control, "127.0.0.1:7002",
+          "IP:PORT of a daemon's control address");
+ABSL_FLAG(std::string, operator_page, "127.0.0.1:7004",
+          "IP:PORT of a daemon's operator address");
+ABSL_FLAG(std::string, token, "", "secret for operators' calls");
+ABSL_FLAG(std::string, author, "operator", "name put on submitted texts");
+ABSL_FLAG(std::string, request_id, "",
+          "id of a submit; use the same one to ask for a lost answer");
+ABSL_FLAG(int, replaces, -1,
+          "version that a submit replaces; -1 for the one in force now");
+ABSL_FLAG(bool, json, false, "print JSON");
+
+namespace {
+
+using namespace dandelioncrank;
+
+const char* const usage =
+    "dandelioncrank: drives a group of dandelioncrankd daemons\n"
+    "\n"
+    "usage: dandelioncrank [settings] COMMAND [ARGUMENTS]\n"
+    "\n"
+    "commands:\n";
+
+const char* const exit_codes =
+    "\nexit codes: 0 done, 1 no answer, 2 wrong usage, 3 findings,\n"
+    "4 conflict, 5 refused, 6 unknown (ask again with the same id),\n"
+    "7 not found\n"
+    "\nsettings:\n";
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    settings_reader reader("DANDELIONCRANK_TOOL",
+                           {"control", "operator_page", "token", "author",
+                            "request_id", "replaces", "json"});
+    parsed_arguments parsed = reader.read(argc, argv);
+    if (parsed.help_requested_) {
+        std::cout << usage << commands_help() << exit_codes << reader.help();
+        return static_cast<int>(tool_exit::success);
+    }
+    if (!parsed.faults_.empty()) {
+        std::cerr << parsed.faults_.to_text();
+        return static_cast<int>(tool_exit::wrong_usage);
+    }
+    QCoreApplication application(argc, argv);
+    tool_client client(absl::GetFlag(FLAGS_control),
+                       absl::GetFlag(FLAGS_operator_page),
+                       absl::GetFlag(FLAGS_token));
+    tool_options options;
+    options.json_ = absl::GetFlag(FLAGS_json);
+    options.author_ = absl::GetFlag(FLAGS_author);
+    options.request_id_ = absl::GetFlag(FLAGS_request_id);
+    options.replaces_ = absl::GetFlag(FLAGS_replaces);
+    return static_cast<int>(run_command(client, options, parsed.positional_));
+}
--- a/cmake/ProjectTargets.cmake
+++ b/cmake/ProjectTargets.cmake
@@ -20,6 +20,9 @@
 function(dandelioncrank_test name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;SUBJECTS" ${ARGN})
   add_executable(test_${name} ${ARG_SOURCES})
+  # Tests may look at private headers of the library that they test.
+  target_include_directories(test_${name}
+    PRIVATE "${CMAKE_CURRENT_SOURCE_DIR}/src")
   target_link_libraries(test_${name}
     PRIVATE dandelioncrank_test_main ${ARG_DEPENDS})
   foreach(subject IN LISTS ARG_SUBJECTS)
--- a/libs/dissemination/include/dandelioncrank/dissemination/gossip_message.hpp
+++ b/libs/dissemination/include/dandelioncrank/dissemination/gossip_message.hpp
@@ -25,12 +25,14 @@
     bool leaving_ = false;
     /// It serves callers.
     bool serving_ = false;
+    /// Epoch under which it owns its zone's workers; 0 if it does not.
+    std::uint64_t zone_epoch_ = 0;
 
     template <class Archive>
     void fields(Archive& archive)
     {
         archive(name_, zone_, incarnation_, revision_, is_gateway_,
-                is_scheduler_, is_voter_, leaving_, serving_);
+                is_scheduler_, is_voter_, leaving_, serving_, zone_epoch_);
     }
 };
 
--- a/libs/dissemination/src/disseminator.cpp
+++ b/libs/dissemination/src/disseminator.cpp
@@ -52,7 +52,8 @@
     std::uint64_t known_revision = host.status_.revision_;
     bool changed = !host.live_ || restarted ||
                    status.leaving_ != host.status_.leaving_ ||
-                   status.serving_ != host.status_.serving_;
+                   status.serving_ != host.status_.serving_ ||
+                   status.zone_epoch_ != host.status_.zone_epoch_;
     if (restarted)
         out.push_back(host_vanished{status.name_});
     host.status_ = status;
--- a/libs/gateway/include/dandelioncrank/gateway/caller_request.hpp
+++ b/libs/gateway/include/dandelioncrank/gateway/caller_request.hpp
@@ -39,13 +39,13 @@
 using understood_request = std::variant<caller_request, request_refused>;
 
 /// Reads a request to /services/NAME/REST against the table.
-[[nodiscard]] understood_request understand_request(
-    const http_request& request, const routing_table& table,
-    const std::string& fresh_id);
+[[nodiscard]] understood_request
+understand_request(const http_request& request, const routing_table& table,
+                   const std::string& fresh_id);
 
 /// Id in a target of the form /requests/ID.
-[[nodiscard]] std::optional<request_id> requested_fate(
-    const std::string& target);
+[[nodiscard]] std::optional<request_id>
+requested_fate(const std::string& target);
 
 /// Answer to a request that did not run.
 [[nodiscard]] http_response refusal_response(const request_id& id,
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -38,8 +38,8 @@
     auto end = tail.find_first_of("/?");
     split_target result{tail.substr(0, end), "/"};
     if (end != std::string::npos)
-        result.rest_ = tail[end] == '/' ? tail.substr(end)
-                                        : "/" + tail.substr(end);
+        result.rest_ =
+            tail[end] == '/' ? tail.substr(end) : "/" + tail.substr(end);
     return result;
 }
 
@@ -152,8 +152,7 @@
                        "the deadline has passed");
     result.repeatable_ = read_mark(request).value_or(
         is_safe_method(request.method_) || rule.repeatable_);
-    result.idempotency_key_ =
-        request.headers_.value_or("Idempotency-Key", "");
+    result.idempotency_key_ = request.headers_.value_or("Idempotency-Key", "");
     if (!result.idempotency_key_.empty() &&
         !is_token(result.idempotency_key_, max_key_length))
         return refused(refusal_reason::bad_request,
@@ -186,8 +185,7 @@
 }
 
 http_response refusal_response(const request_id& id, refusal_reason reason,
-                               const std::string& detail,
-                               duration retry_after)
+                               const std::string& detail, duration retry_after)
 {
     http_response response = json_response(
         status_of(reason),
--- a/libs/gateway/src/endpoint_pool.cpp
+++ b/libs/gateway/src/endpoint_pool.cpp
@@ -4,8 +4,8 @@
 
 endpoint_pool::endpoint_pool(const http_limits& limits) : limits_(limits) {}
 
-std::unique_ptr<client_connection> endpoint_pool::take(
-    const host_port& address, bool may_reuse)
+std::unique_ptr<client_connection> endpoint_pool::take(const host_port& address,
+                                                       bool may_reuse)
 {
     auto found = idle_.find(address);
     while (may_reuse && found != idle_.end() && !found->second.empty()) {
--- a/libs/gateway/src/endpoint_pool.hpp
+++ b/libs/gateway/src/endpoint_pool.hpp
@@ -16,8 +16,8 @@
 
     /// A connection for one request. One that is kept open is used only if
     /// reuse is allowed: the endpoint may close it at the same moment.
-    [[nodiscard]] std::unique_ptr<client_connection> take(
-        const host_port& address, bool may_reuse);
+    [[nodiscard]] std::unique_ptr<client_connection>
+    take(const host_port& address, bool may_reuse);
 
     /// Keeps the connection if it can serve again and there is room.
     void give_back(std::unique_ptr<client_connection> connection,
--- a/libs/gateway/src/gateway_loop.cpp
+++ b/libs/gateway/src/gateway_loop.cpp
@@ -47,8 +47,7 @@
                    static_cast<std::uint64_t>(number) * 10'000'000'000ULL;
     server_.on_refusal_ = [](http_response& response) {
         response.headers_.set("X-Fate", to_text(fate::not_run));
-        response.headers_.set("X-Reason",
-                              to_text(refusal_reason::bad_request));
+        response.headers_.set("X-Reason", to_text(refusal_reason::bad_request));
     };
 }
 
@@ -84,47 +83,42 @@
         answer_fate(*id, reply);
         return;
     }
-    std::string fresh = options_.host_.str() + '-' +
-                        std::to_string(options_.incarnation_) + '-' +
-                        std::to_string(number_) + '-' +
-                        std::to_string(++next_number_);
+    std::string fresh =
+        options_.host_.str() + '-' + std::to_string(options_.incarnation_) +
+        '-' + std::to_string(number_) + '-' + std::to_string(++next_number_);
     understood_request understood;
     table_.read([&](const routing_table& table) {
         understood = understand_request(request, table, fresh);
     });
     std::visit(
-        overloaded{[&](caller_request& item) {
-                       begin(std::move(item), reply);
-                   },
-                   [&](request_refused& item) {
-                       bool later = item.reason_ == refusal_reason::stopping ||
-                                    item.reason_ ==
-                                        refusal_reason::dependency_down;
-                       fate_record record{item.id_, fate::not_run,
-                                          status_of(item.reason_),
-                                          to_text(item.reason_)};
-                       hooks_.record_fate_(
-                           record, {fate::not_run, record.reason_, {}, {}});
-                       (*reply)(refusal_response(item.id_, item.reason_,
-                                                 item.detail_,
-                                                 later ? 1s : 0s));
-                   }},
+        overloaded{
+            [&](caller_request& item) { begin(std::move(item), reply); },
+            [&](request_refused& item) {
+                bool later = item.reason_ == refusal_reason::stopping ||
+                             item.reason_ == refusal_reason::dependency_down;
+                fate_record record{item.id_, fate::not_run,
+                                   status_of(item.reason_),
+                                   to_text(item.reason_)};
+                hooks_.record_fate_(record,
+                                    {fate::not_run, record.reason_, {}, {}});
+                (*reply)(refusal_response(item.id_, item.reason_, item.detail_,
+                                          later ? 1s : 0s));
+            }},
         understood);
 }
 
 void gateway_loop::answer_fate(const request_id& id,
                                const std::shared_ptr<responder>& reply)
 {
-    hooks_.find_fate_(id, poster(),
-                      [reply, id](std::optional<fate_record> record) {
-                          if (record) {
-                              (*reply)(json_response(200, json_fate(*record)));
-                              return;
-                          }
-                          (*reply)(json_response(
-                              404, "{\"reason\":\"no entry host remembers "
-                                   "this request\"}\n"));
-                      });
+    hooks_.find_fate_(
+        id, poster(), [reply, id](std::optional<fate_record> record) {
+            if (record) {
+                (*reply)(json_response(200, json_fate(*record)));
+                return;
+            }
+            (*reply)(json_response(404, "{\"reason\":\"no entry host remembers "
+                                        "this request\"}\n"));
+        });
 }
 
 void gateway_loop::begin(caller_request request,
@@ -141,8 +135,8 @@
     flows_.emplace(number, std::move(owned));
     ++in_flight_;
     reply->on_abandoned_ = [this, number] { abandon(number); };
-    bool needs_claim = !item.request_.repeatable_ &&
-                       !item.request_.idempotency_key_.empty();
+    bool needs_claim =
+        !item.request_.repeatable_ && !item.request_.idempotency_key_.empty();
     if (!needs_claim) {
         order_slot(item);
         return;
@@ -204,10 +198,10 @@
 {
     http_response response;
     if (result.answer_.isEmpty()) {
-        response = json_response(
-            result.fate_ == fate::completed ? 200 : 502,
-            "{\"fate\":\"" + to_text(result.fate_) +
-                "\",\"reason\":\"first-answer-not-kept\"}\n");
+        response =
+            json_response(result.fate_ == fate::completed ? 200 : 502,
+                          "{\"fate\":\"" + to_text(result.fate_) +
+                              "\",\"reason\":\"first-answer-not-kept\"}\n");
     } else {
         response = from_wire<http_response>(result.answer_);
     }
@@ -346,14 +340,13 @@
         return;
     }
     bool failed = response.status_ >= 500;
-    return_slot(item,
-                failed ? slot_outcome::failed : slot_outcome::succeeded);
+    return_slot(item, failed ? slot_outcome::failed : slot_outcome::succeeded);
     bool transient = response.status_ == 502 || response.status_ == 503;
     if (transient && item.request_.repeatable_ && may_try_again(item)) {
         item.avoid_.push_back(item.endpoint_);
         item.may_have_run_ = true;
-        item.last_reason_ = "the endpoint answered " +
-                            std::to_string(response.status_);
+        item.last_reason_ =
+            "the endpoint answered " + std::to_string(response.status_);
         order_slot(item);
         return;
     }
@@ -436,8 +429,8 @@
                             item.queued_};
     hooks_.record_fate_(record, figures);
     if (item.claimed_) {
-        settle_claim settled{item.request_.idempotency_key_,
-                             item.request_.id_, value, {}};
+        settle_claim settled{
+            item.request_.idempotency_key_, item.request_.id_, value, {}};
         if (value == fate::completed &&
             response.body_.size() <= max_kept_answer)
             settled.answer_ = to_wire(response);
--- a/libs/gateway/test/caller_request_test.cpp
+++ b/libs/gateway/test/caller_request_test.cpp
@@ -53,10 +53,10 @@
 
 TEST_CASE("a request is understood", "[caller_request]")
 {
-    auto item = accepted(make_request(
-        "/services/rota/plan/7?x=1",
-        {{"X-Deadline-Ms", "900"}, {"Idempotency-Key", "k"},
-         {"Connection", "keep-alive"}}));
+    auto item = accepted(make_request("/services/rota/plan/7?x=1",
+                                      {{"X-Deadline-Ms", "900"},
+                                       {"Idempotency-Key", "k"},
+                                       {"Connection", "keep-alive"}}));
     CHECK(item.service_ == service_name("rota"));
     CHECK(item.route_ == "POST /plan");
     CHECK(item.forwarded_.target_ == "/plan/7?x=1");
@@ -90,21 +90,21 @@
           refusal_reason::wrong_zone);
     CHECK(reason_for(make_request("/services/shop/")) ==
           refusal_reason::dependency_down);
-    CHECK(reason_for(make_request("/services/rota/",
-                                  {{"X-Deadline-Ms", "0"}})) ==
-          refusal_reason::deadline_passed);
+    CHECK(
+        reason_for(make_request("/services/rota/", {{"X-Deadline-Ms", "0"}})) ==
+        refusal_reason::deadline_passed);
     for (const char* text : {"-1", "soon", "99999999", ""}) {
-        CHECK(reason_for(make_request("/services/rota/",
-                                      {{"X-Deadline-Ms", text}})) ==
+        CHECK(reason_for(
+                  make_request("/services/rota/", {{"X-Deadline-Ms", text}})) ==
               refusal_reason::bad_request);
     }
-    CHECK(reason_for(make_request("/services/rota/",
-                                  {{"X-Request-Id", "a b"}})) ==
-          refusal_reason::bad_request);
-    CHECK(reason_for(make_request("/services/rota/",
-                                  {{"Idempotency-Key",
-                                    std::string(300, 'k')}})) ==
+    CHECK(reason_for(
+              make_request("/services/rota/", {{"X-Request-Id", "a b"}})) ==
           refusal_reason::bad_request);
+    CHECK(
+        reason_for(make_request(
+            "/services/rota/", {{"Idempotency-Key", std::string(300, 'k')}})) ==
+        refusal_reason::bad_request);
     routing_table starting = make_table();
     starting.serving_ = false;
     CHECK(reason_for(make_request("/services/rota/"), starting) ==
--- a/libs/gateway/test/gateway_test.cpp
+++ b/libs/gateway/test/gateway_test.cpp
@@ -180,11 +180,11 @@
 {
     explicit counting_endpoint(
         std::function<void(http_request, std::shared_ptr<responder>)> answer)
-        : server_(any_port, {}, [this, answer](http_request request,
-                                               auto& reply) {
-              ++runs_;
-              answer(std::move(request), reply);
-          })
+        : server_(any_port, {},
+                  [this, answer](http_request request, auto& reply) {
+                      ++runs_;
+                      answer(std::move(request), reply);
+                  })
     {
     }
 
--- /dev/null
+++ b/libs/node/include/dandelioncrank/node/node_settings.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "dandelioncrank/core/finding.hpp"
+#include "dandelioncrank/core/name.hpp"
+#include "dandelioncrank/core/time.hpp"
+#include "dandelioncrank/http/http_limits.hpp"
+#include "dandelioncrank/logging/part_log.hpp"
+#include "dandelioncrank/settings/settings_reader.hpp"
+
+#include <string>
+#include <vector>
+
+namespace dandelioncrank {
+
+/// Another daemon, as the settings name it.
+struct peer_setting
+{
+    host_name name_;
+    zone_name zone_;
+    host_port address_;
+    host_port control_address_;
+    bool is_voter_ = false;
+};
+
+/// Checked settings of one daemon.
+struct node_settings
+{
+    host_name host_;
+    zone_name zone_;
+    bool is_gateway_ = false;
+    bool is_scheduler_ = false;
+    bool is_voter_ = false;
+    host_port caller_address_;
+    host_port control_address_;
+    host_port peer_address_;
+    host_port operator_address_;
+    /// Every daemon, this one included.
+    std::vector<peer_setting> hosts_;
+    std::string data_dir_;
+    /// First start of the whole group: this voter is one of the first.
+    bool bootstrap_ = false;
+    int loops_ = 2;
+    duration lease_ = std::chrono::seconds(10);
+    duration stop_time_ = std::chrono::seconds(30);
+    http_limits limits_;
+    log_level log_level_ = log_level::info;
+    std::string operator_token_;
+    std::string worker_token_;
+};
+
+/// What the command line asked for.
+struct settings_result
+{
+    node_settings settings_;
+    bool help_requested_ = false;
+    std::string help_;
+    findings faults_;
+};
+
+/// Reads and checks flags and DANDELIONCRANK_ variables; every fault is
+/// reported, not only the first.
+[[nodiscard]] settings_result read_node_settings(int argc,
+                                                 const char* const* argv);
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/node/src/config_keeper.cpp
@@ -0,0 +1,46 @@
+#include "config_keeper.hpp"
+
+namespace dandelioncrank {
+
+bool config_keeper::offer(std::uint64_t revision,
+                          const std::map<std::string, stored_text>& texts)
+{
+    if (revision <= revision_)
+        return false;
+    revision_ = revision;
+    for (const auto& [subject, text] : texts)
+        texts_[subject] = text;
+    std::vector<config_text> all;
+    for (const auto& [subject, text] : texts_)
+        all.push_back(text.text_);
+    // Accepted texts were checked as a whole before they were accepted.
+    rules_ = check_texts(all).configuration_;
+    if (on_change_)
+        on_change_();
+    return true;
+}
+
+std::map<std::string, stored_text>
+config_keeper::changed_after(std::uint64_t revision) const
+{
+    std::map<std::string, stored_text> changed;
+    for (const auto& [subject, text] : texts_) {
+        if (text.revision_ > revision)
+            changed.emplace(subject, text);
+    }
+    return changed;
+}
+
+std::vector<config_text> config_keeper::with(const std::string& subject,
+                                             const config_text& text) const
+{
+    std::vector<config_text> all;
+    for (const auto& [name, known] : texts_) {
+        if (name != subject)
+            all.push_back(known.text_);
+    }
+    all.push_back(text);
+    return all;
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/node/src/control_api.cpp
@@ -0,0 +1,302 @@
+#include "control_api.hpp"
+
+#include "json_text.hpp"
+
+#include <QTimer>
+
+namespace dandelioncrank {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration submit_limit = 8s;
+constexpr auto recheck_time = 20ms;
+
+struct text_in_body
+{
+    std::string subject_;
+    config_text text_;
+};
+
+std::optional<text_in_body> read_text(const QJsonObject& body)
+{
+    text_in_body result;
+    result.text_.name_ = body.value("file").toString().toStdString();
+    result.text_.body_ = body.value("text").toString().toStdString();
+    result.subject_ = text_subject(result.text_);
+    if (result.subject_.empty())
+        return std::nullopt;
+    return result;
+}
+
+http_response findings_answer(const findings& faults)
+{
+    return json_answer(422,
+                       {{"outcome", "invalid"}, {"findings", to_json(faults)}});
+}
+
+} // namespace
+
+control_api::control_api(const node_settings& settings, peer_directory& peers,
+                         disseminator& gossip, config_keeper& config,
+                         state_client& state, zone_service& zone,
+                         consensus_host* voter, announce on_announce)
+    : settings_(settings), peers_(peers), gossip_(gossip), config_(config),
+      state_(state), voter_(voter), on_announce_(std::move(on_announce)),
+      jobs_(settings, peers, gossip, state, zone, voter)
+{
+}
+
+bool control_api::is_allowed(const http_request& request,
+                             const std::string& path) const
+{
+    bool from_pool = path.starts_with("/v1/workers/report") ||
+                     path.starts_with("/v1/endpoints/announce");
+    const std::string& token =
+        from_pool ? settings_.worker_token_ : settings_.operator_token_;
+    return token.empty() ||
+           request.headers_.value_or("Authorization", "") == "Bearer " + token;
+}
+
+void control_api::handle(const http_request& request, const reply& on_reply)
+{
+    std::string path = request.target_.substr(0, request.target_.find('?'));
+    if (!is_allowed(request, path)) {
+        on_reply(error_answer(401, "the token is missing or wrong"));
+        return;
+    }
+    route(request.method_, path, request.body_, on_reply);
+}
+
+void control_api::handle_passed(const api_request& request,
+                                const reply& on_reply)
+{
+    if (!jobs_.route(request.method_, request.target_, request.body_, false,
+                     on_reply))
+        on_reply(error_answer(404, "there is no such call"));
+}
+
+void control_api::route(const std::string& method, const std::string& path,
+                        const std::string& body, const reply& on_reply)
+{
+    bool served = route_config(method, path, body, on_reply) ||
+                  jobs_.route(method, path, body, true, on_reply);
+    if (!served)
+        on_reply(error_answer(404, "there is no such call"));
+}
+
+bool control_api::route_config(const std::string& method,
+                               const std::string& path, const std::string& body,
+                               const reply& on_reply)
+{
+    std::string call = method + ' ' + path;
+    if (call == "GET /v1/config")
+        show_config(on_reply);
+    else if (call == "GET /v1/config/history")
+        show_history(on_reply);
+    else if (call == "GET /v1/config/rollout")
+        show_rollout(on_reply);
+    else if (call == "GET /v1/endpoints")
+        list_endpoints(on_reply);
+    else if (method == "POST" &&
+             (path == "/v1/config/check" || path == "/v1/config/submit" ||
+              path == "/v1/endpoints/announce" ||
+              path == "/v1/voters/replace")) {
+        auto object = parse_object(body);
+        if (!object)
+            on_reply(error_answer(400, "the body is no JSON object"));
+        else if (path == "/v1/config/check")
+            check_config(*object, on_reply);
+        else if (path == "/v1/config/submit")
+            submit_config_text(*object, on_reply);
+        else if (path == "/v1/voters/replace")
+            replace_voter(*object, on_reply);
+        else
+            announce_endpoint(*object, on_reply);
+    } else
+        return false;
+    return true;
+}
+
+// --- Configuration
+
+void control_api::check_config(const QJsonObject& body, const reply& on_reply)
+{
+    auto item = read_text(body);
+    std::string subject = item ? item->subject_ : "?";
+    config_text text{body.value("file").toString().toStdString(),
+                     body.value("text").toString().toStdString()};
+    findings faults = check_texts(config_.with(subject, text)).findings_;
+    if (!faults.empty()) {
+        on_reply(findings_answer(faults));
+        return;
+    }
+    on_reply(
+        json_answer(200, {{"outcome", "valid"}, {"subject", to_qt(subject)}}));
+}
+
+void control_api::submit_config_text(const QJsonObject& body,
+                                     const reply& on_reply)
+{
+    auto item = read_text(body);
+    if (!item) {
+        check_config(body, on_reply);
+        return;
+    }
+    submit_config change;
+    change.request_ =
+        request_id(body.value("request_id").toString().toStdString());
+    change.author_ = body.value("author").toString().toStdString();
+    change.change_.subject_ = item->subject_;
+    change.change_.replaces_ =
+        static_cast<std::uint64_t>(body.value("replaces").toInteger(0));
+    change.change_.text_ = item->text_;
+    if (change.request_.empty() || change.request_.str().size() > 200) {
+        on_reply(error_answer(400, "request_id is missing or too long"));
+        return;
+    }
+    propose_text(change, steady_now() + submit_limit, on_reply);
+}
+
+void control_api::propose_text(const submit_config& change, instant deadline,
+                               const reply& on_reply)
+{
+    // A resend of what is in force already needs no second check.
+    findings faults =
+        check_texts(config_.with(change.change_.subject_, change.change_.text_))
+            .findings_;
+    if (!faults.empty()) {
+        on_reply(findings_answer(faults));
+        return;
+    }
+    submit_config checked = change;
+    checked.checked_revision_ = config_.revision();
+    duration left = time_left(steady_now(), deadline);
+    state_.run(
+        checked, left,
+        [this, change, deadline, on_reply](command_outcome outcome) {
+            if (outcome.end_ == command_end::refused) {
+                on_reply(error_answer(503, "no quorum: the change was not "
+                                           "accepted; send it again"));
+                return;
+            }
+            if (outcome.end_ == command_end::unsure) {
+                on_reply(error_answer(
+                    504, "unknown whether the change was accepted; send it "
+                         "again with the same request_id"));
+                return;
+            }
+            auto result = std::get<submit_result>(outcome.reply_);
+            if (result.outcome_ == submit_outcome::stale_check) {
+                // This daemon is about to hear of the newer revision.
+                QTimer::singleShot(recheck_time, &state_,
+                                   [this, change, deadline, on_reply] {
+                                       propose_text(change, deadline, on_reply);
+                                   });
+                return;
+            }
+            int status =
+                result.outcome_ == submit_outcome::conflict ? 409 : 200;
+            on_reply(json_answer(status, to_json(result)));
+        });
+}
+
+void control_api::show_config(const reply& on_reply) const
+{
+    QJsonObject texts;
+    for (const auto& [subject, text] : config_.texts()) {
+        texts[to_qt(subject)] =
+            QJsonObject{{"version", static_cast<qint64>(text.version_)},
+                        {"revision", static_cast<qint64>(text.revision_)},
+                        {"author", to_qt(text.author_)},
+                        {"file", to_qt(text.text_.name_)},
+                        {"text", to_qt(text.text_.body_)}};
+    }
+    on_reply(
+        json_answer(200, {{"revision", static_cast<qint64>(config_.revision())},
+                          {"texts", texts}}));
+}
+
+void control_api::show_history(const reply& on_reply) const
+{
+    if (voter_ == nullptr) {
+        on_reply(error_answer(421, "ask a voter: this host keeps no history"));
+        return;
+    }
+    QJsonArray items;
+    for (const config_history_item& item : voter_->state().config().history())
+        items.append(to_json(item));
+    on_reply(json_answer(200, {{"history", items}}));
+}
+
+void control_api::show_rollout(const reply& on_reply) const
+{
+    QJsonArray hosts;
+    hosts.append(to_json(gossip_.self()));
+    for (const host_status& host : gossip_.live_hosts())
+        hosts.append(to_json(host));
+    std::uint64_t newest =
+        std::max(config_.revision(), gossip_.newest_revision_heard());
+    QJsonArray silent;
+    for (const host_name& name : peers_.others()) {
+        bool live = false;
+        for (const host_status& host : gossip_.live_hosts())
+            live = live || host.name_ == name;
+        if (!live)
+            silent.append(to_qt(name.str()));
+    }
+    on_reply(json_answer(200, {{"newest", static_cast<qint64>(newest)},
+                               {"hosts", hosts},
+                               {"silent", silent}}));
+}
+
+// --- Endpoints and voters
+
+void control_api::announce_endpoint(const QJsonObject& body,
+                                    const reply& on_reply)
+{
+    try {
+        endpoint_info info = endpoint_from_json(body);
+        // Without a number of its own, an endpoint's announcements are
+        // ordered by the clock of the daemon that takes them.
+        auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+        auto sequence = static_cast<std::uint64_t>(
+            body.value("sequence").toInteger(now.count()));
+        on_announce_(info, sequence);
+        on_reply(json_answer(200, {{"ok", true}}));
+    } catch (const findings_error& error) {
+        on_reply(findings_answer(error.items()));
+    }
+}
+
+void control_api::list_endpoints(const reply& on_reply) const
+{
+    QJsonArray items;
+    for (const endpoint_entry& entry : gossip_.endpoints(steady_now()))
+        items.append(to_json(entry.info_));
+    on_reply(json_answer(200, {{"endpoints", items}}));
+}
+
+void control_api::replace_voter(const QJsonObject& body, const reply& on_reply)
+{
+    if (voter_ == nullptr || !voter_->is_leader()) {
+        std::string leader =
+            voter_ == nullptr ? std::string() : voter_->leader().str();
+        on_reply(json_answer(
+            421, {{"error", "ask the leader"}, {"leader", to_qt(leader)}}));
+        return;
+    }
+    voter_name old(body.value("old").toString().toStdString());
+    voter_name next(body.value("new").toString().toStdString());
+    bool taken =
+        !next.empty() && voter_->replace_voter(old, next, {}, steady_now());
+    if (taken)
+        on_reply(json_answer(200, {{"ok", true}}));
+    else
+        on_reply(error_answer(409, "another change of the voters is under "
+                                   "way, or the old one is no voter"));
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/node/src/job_api.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "consensus_host.hpp"
+#include "dandelioncrank/dissemination/disseminator.hpp"
+#include "dandelioncrank/http/http_message.hpp"
+#include "state_client.hpp"
+#include "zone_service.hpp"
+
+#include <QJsonObject>
+
+#include <functional>
+
+namespace dandelioncrank {
+
+/// Calls about jobs, teams and workers. They are served by the host that
+/// owns the zone; another host passes them on.
+class job_api
+{
+  public:
+    using reply = std::function<void(http_response)>;
+
+    job_api(const node_settings& settings, peer_directory& peers,
+            disseminator& gossip, state_client& state, zone_service& zone,
+            consensus_host* voter);
+
+    /// False if the path is not about jobs, teams or workers.
+    bool route(const std::string& method, const std::string& path,
+               const std::string& body, bool may_pass_on,
+               const reply& on_reply);
+
+  private:
+    void pass_on(const std::string& method, const std::string& path,
+                 const std::string& body, const reply& on_reply);
+    void serve(const std::string& method, const std::string& path,
+               const std::string& body, const reply& on_reply);
+    void submit(const std::string& body, const reply& on_reply);
+    void show(const job_id& id, const reply& on_reply);
+    void show_finished(const job_id& id, const reply& on_reply);
+    void cancel(const job_id& id, const reply& on_reply);
+    void list_jobs(const reply& on_reply);
+    void list_teams(const reply& on_reply);
+    void list_workers(const reply& on_reply);
+    void report(const std::string& body, const reply& on_reply);
+
+    const node_settings& settings_;
+    peer_directory& peers_;
+    disseminator& gossip_;
+    state_client& state_;
+    zone_service& zone_;
+    consensus_host* voter_;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/node/src/json_text.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "dandelioncrank/core/finding.hpp"
+#include "dandelioncrank/dissemination/gossip_message.hpp"
+#include "dandelioncrank/http/http_message.hpp"
+#include "dandelioncrank/scheduling/zone_scheduler.hpp"
+#include "dandelioncrank/state/config_store.hpp"
+
+#include <QJsonArray>
+#include <QJsonObject>
+
+#include <optional>
+#include <string>
+
+namespace dandelioncrank {
+
+[[nodiscard]] QString to_qt(const std::string& text);
+
+/// Object in a body; nothing if it is no JSON object.
+[[nodiscard]] std::optional<QJsonObject> parse_object(const std::string& body);
+
+[[nodiscard]] std::string to_json_text(const QJsonObject& object);
+[[nodiscard]] http_response json_answer(int status, const QJsonObject& object);
+[[nodiscard]] http_response error_answer(int status, const std::string& reason);
+
+[[nodiscard]] QJsonObject to_json(const job_record& record);
+[[nodiscard]] QJsonObject to_json(const job_view& view);
+[[nodiscard]] QJsonObject to_json(const team_view& view);
+[[nodiscard]] QJsonObject to_json(const pool_worker& worker);
+[[nodiscard]] QJsonObject to_json(const worker_command& command);
+[[nodiscard]] QJsonObject to_json(const endpoint_info& info);
+[[nodiscard]] QJsonObject to_json(const host_status& status);
+[[nodiscard]] QJsonObject to_json(const submit_result& result);
+[[nodiscard]] QJsonObject to_json(const config_history_item& item);
+[[nodiscard]] QJsonArray to_json(const findings& items);
+
+/// Throws findings_error naming every field that is wrong.
+[[nodiscard]] job_spec job_from_json(const QJsonObject& object);
+[[nodiscard]] worker_report report_from_json(const QJsonObject& object);
+[[nodiscard]] endpoint_info endpoint_from_json(const QJsonObject& object);
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/node/src/node_settings.cpp
@@ -0,0 +1,336 @@
+#include "dandelioncrank/node/node_settings.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/strings/str_split.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <set>
+
+ABSL_FLAG(std::string, host, "", "name of this entry host");
+ABSL_FLAG(std::string, zone, "", "availability zone of this entry host");
+ABSL_FLAG(std::string, roles, "gateway,scheduler",
+          "what this host carries: gateway, scheduler, voter");
+ABSL_FLAG(std::string, caller_address, "127.0.0.1:7001", "IP:PORT for callers");
+ABSL_FLAG(std::string, control_address, "127.0.0.1:7002",
+          "IP:PORT for endpoints, workers and operators");
+ABSL_FLAG(std::string, peer_address, "127.0.0.1:7003",
+          "IP:PORT for other daemons");
+ABSL_FLAG(std::string, operator_address, "127.0.0.1:7004",
+          "IP:PORT for the state dump and metrics; keep it private");
+ABSL_FLAG(std::string, hosts, "",
+          "all daemons, NAME/ZONE/PEER_IP:PORT/CONTROL_IP:PORT[/voter], "
+          "separated by commas; empty for a single daemon");
+ABSL_FLAG(std::string, data_dir, "",
+          "folder for durable state; needed by voters");
+ABSL_FLAG(bool, bootstrap, false,
+          "yes on the very first start of the group's first voters");
+ABSL_FLAG(int, loops, 2, "threads that serve callers, 1 to 64");
+ABSL_FLAG(absl::Duration, lease, absl::Seconds(10),
+          "time after which a silent worker has stopped its tasks");
+ABSL_FLAG(absl::Duration, stop_time, absl::Seconds(30),
+          "longest wait for requests in flight at a planned stop");
+ABSL_FLAG(int, header_kib, 16, "largest header of a request, in KiB");
+ABSL_FLAG(int, body_kib, 4096, "largest body of a request, in KiB");
+ABSL_FLAG(absl::Duration, header_time, absl::Seconds(5),
+          "time in which a request's header must arrive");
+ABSL_FLAG(absl::Duration, body_time, absl::Seconds(30),
+          "time in which a request's body must arrive");
+ABSL_FLAG(absl::Duration, idle_time, absl::Seconds(60),
+          "time an idle caller's connection stays open");
+ABSL_FLAG(int, connections, 10000, "open callers' connections of each thread");
+ABSL_FLAG(std::string, log_level, "info",
+          "lowest level logged: debug, info, warning, error");
+ABSL_FLAG(std::string, operator_token, "",
+          "secret that operators' calls must carry; empty for none");
+ABSL_FLAG(std::string, worker_token, "",
+          "secret that workers' and endpoints' calls must carry; empty for "
+          "none");
+
+namespace dandelioncrank {
+
+namespace {
+
+const char* const help_text =
+    "dandelioncrankd: one daemon of the scheduler, one on each entry host\n"
+    "\n"
+    "usage: dandelioncrankd --host=NAME --zone=ZONE [settings]\n"
+    "\n"
+    "A setting is a flag or an environment variable (in brackets). A flag\n"
+    "goes before a variable, a variable before the default. SIGTERM is the\n"
+    "planned stop: nothing new is taken, what is in flight is answered.\n"
+    "\n"
+    "One daemon that does everything:\n"
+    "  dandelioncrankd --host=h1 --zone=leon --roles=gateway,scheduler,voter"
+    " \\\n"
+    "    --data_dir=data --bootstrap\n"
+    "\n"
+    "settings:\n";
+
+settings_reader make_reader()
+{
+    return {"DANDELIONCRANK",
+            {"host",
+             "zone",
+             "roles",
+             "caller_address",
+             "control_address",
+             "peer_address",
+             "operator_address",
+             "hosts",
+             "data_dir",
+             "bootstrap",
+             "loops",
+             "lease",
+             "stop_time",
+             "header_kib",
+             "body_kib",
+             "header_time",
+             "body_time",
+             "idle_time",
+             "connections",
+             "log_level",
+             "operator_token",
+             "worker_token"}};
+}
+
+/// Turns flags into settings; faults are collected.
+class settings_checker
+{
+  public:
+    explicit settings_checker(settings_result& result)
+        : settings_(result.settings_), faults_(result.faults_)
+    {
+    }
+
+    void check()
+    {
+        read_identity();
+        read_roles();
+        read_addresses();
+        read_hosts();
+        read_limits();
+        check_data_dir();
+    }
+
+  private:
+    void read_identity()
+    {
+        settings_.host_ = host_name(absl::GetFlag(FLAGS_host));
+        settings_.zone_ = zone_name(absl::GetFlag(FLAGS_zone));
+        if (settings_.host_.empty())
+            faults_.add({"--host"}, "it is missing",
+                        "give this entry host a name");
+        if (settings_.host_.str().find('.') != std::string::npos)
+            faults_.add({"--host"}, "it has a dot in it",
+                        "use letters, digits and '-'");
+        if (settings_.zone_.empty())
+            faults_.add({"--zone"}, "it is missing",
+                        "name the availability zone of this host");
+        settings_.operator_token_ = absl::GetFlag(FLAGS_operator_token);
+        settings_.worker_token_ = absl::GetFlag(FLAGS_worker_token);
+    }
+
+    void read_roles()
+    {
+        std::string roles = absl::GetFlag(FLAGS_roles);
+        for (const auto& part : absl::StrSplit(roles, ',', absl::SkipEmpty())) {
+            std::string role(part.data(), part.size());
+            if (role == "gateway")
+                settings_.is_gateway_ = true;
+            else if (role == "scheduler")
+                settings_.is_scheduler_ = true;
+            else if (role == "voter")
+                settings_.is_voter_ = true;
+            else
+                faults_.add({"--roles"}, "'" + role + "' is no role",
+                            "use gateway, scheduler and voter");
+        }
+        settings_.bootstrap_ = absl::GetFlag(FLAGS_bootstrap);
+    }
+
+    void read_addresses()
+    {
+        settings_.caller_address_ = parse_host_port(
+            absl::GetFlag(FLAGS_caller_address), "--caller_address", faults_);
+        settings_.control_address_ = parse_host_port(
+            absl::GetFlag(FLAGS_control_address), "--control_address", faults_);
+        settings_.peer_address_ = parse_host_port(
+            absl::GetFlag(FLAGS_peer_address), "--peer_address", faults_);
+        settings_.operator_address_ =
+            parse_host_port(absl::GetFlag(FLAGS_operator_address),
+                            "--operator_address", faults_);
+    }
+
+    void read_hosts()
+    {
+        std::string text = absl::GetFlag(FLAGS_hosts);
+        std::set<host_name> names;
+        for (const auto& part : absl::StrSplit(text, ',', absl::SkipEmpty())) {
+            read_host(std::string(part.data(), part.size()));
+            if (!settings_.hosts_.empty() &&
+                !names.insert(settings_.hosts_.back().name_).second)
+                faults_.add({"--hosts"},
+                            "host '" + settings_.hosts_.back().name_.str() +
+                                "' stands twice",
+                            "keep one of them");
+        }
+        if (settings_.hosts_.empty()) {
+            settings_.hosts_.push_back(
+                {settings_.host_, settings_.zone_, settings_.peer_address_,
+                 settings_.control_address_, settings_.is_voter_});
+            return;
+        }
+        check_own_entry();
+    }
+
+    void read_host(const std::string& text)
+    {
+        std::vector<std::string> words = absl::StrSplit(text, '/');
+        bool voter = words.size() == 5 && words[4] == "voter";
+        if (words.size() != 4 && !voter) {
+            faults_.add({"--hosts"}, "'" + text + "' is no host",
+                        "write NAME/ZONE/IP:PORT/IP:PORT[/voter]");
+            return;
+        }
+        peer_setting item;
+        item.name_ = host_name(words[0]);
+        item.zone_ = zone_name(words[1]);
+        item.address_ = parse_host_port(words[2], "--hosts", faults_);
+        item.control_address_ = parse_host_port(words[3], "--hosts", faults_);
+        item.is_voter_ = voter;
+        settings_.hosts_.push_back(item);
+    }
+
+    void check_own_entry()
+    {
+        auto own =
+            std::find_if(settings_.hosts_.begin(), settings_.hosts_.end(),
+                         [this](const peer_setting& item) {
+                             return item.name_ == settings_.host_;
+                         });
+        if (own == settings_.hosts_.end()) {
+            faults_.add({"--hosts"},
+                        "this host, '" + settings_.host_.str() +
+                            "', is not listed",
+                        "list every daemon, this one too");
+            return;
+        }
+        if (own->zone_ != settings_.zone_)
+            faults_.add({"--hosts"},
+                        "this host is listed in zone '" + own->zone_.str() +
+                            "'",
+                        "make it agree with --zone");
+        if (own->is_voter_ != settings_.is_voter_)
+            faults_.add({"--hosts"},
+                        "the list and --roles differ on whether this host "
+                        "is a voter",
+                        "make them agree");
+    }
+
+    void read_limits()
+    {
+        settings_.loops_ =
+            in_range("--loops", absl::GetFlag(FLAGS_loops), 1, 64);
+        settings_.lease_ = in_range("--lease", absl::GetFlag(FLAGS_lease),
+                                    absl::Seconds(2), absl::Minutes(10));
+        settings_.stop_time_ =
+            in_range("--stop_time", absl::GetFlag(FLAGS_stop_time),
+                     absl::Seconds(1), absl::Hours(1));
+        http_limits& limits = settings_.limits_;
+        limits.header_bytes_ =
+            kibibytes("--header_kib", absl::GetFlag(FLAGS_header_kib), 1, 1024);
+        limits.body_bytes_ = kibibytes(
+            "--body_kib", absl::GetFlag(FLAGS_body_kib), 1, 64 * 1024);
+        limits.header_time_ =
+            in_range("--header_time", absl::GetFlag(FLAGS_header_time),
+                     absl::Milliseconds(10), absl::Minutes(10));
+        limits.body_time_ =
+            in_range("--body_time", absl::GetFlag(FLAGS_body_time),
+                     absl::Milliseconds(10), absl::Hours(1));
+        limits.idle_time_ =
+            in_range("--idle_time", absl::GetFlag(FLAGS_idle_time),
+                     absl::Milliseconds(10), absl::Hours(24));
+        limits.connections_ = static_cast<std::size_t>(in_range(
+            "--connections", absl::GetFlag(FLAGS_connections), 1, 1000000));
+        read_log_level();
+    }
+
+    void read_log_level()
+    {
+        std::string text = absl::GetFlag(FLAGS_log_level);
+        if (text == "debug")
+            settings_.log_level_ = log_level::debug;
+        else if (text == "warning")
+            settings_.log_level_ = log_level::warning;
+        else if (text == "error")
+            settings_.log_level_ = log_level::error;
+        else if (text != "info")
+            faults_.add({"--log_level"}, "'" + text + "' is no level",
+                        "use debug, info, warning or error");
+    }
+
+    int in_range(const std::string& name, int value, int least, int most)
+    {
+        if (value >= least && value <= most)
+            return value;
+        faults_.add({name}, std::to_string(value) + " is out of range",
+                    "write " + std::to_string(least) + " to " +
+                        std::to_string(most));
+        return least;
+    }
+
+    duration in_range(const std::string& name, absl::Duration value,
+                      absl::Duration least, absl::Duration most)
+    {
+        if (value < least || value > most) {
+            faults_.add({name},
+                        absl::FormatDuration(value) + " is out of range",
+                        "write " + absl::FormatDuration(least) + " to " +
+                            absl::FormatDuration(most));
+            value = least;
+        }
+        return duration(absl::ToInt64Microseconds(value));
+    }
+
+    std::size_t kibibytes(const std::string& name, int value, int least,
+                          int most)
+    {
+        return static_cast<std::size_t>(in_range(name, value, least, most)) *
+               1024;
+    }
+
+    void check_data_dir()
+    {
+        settings_.data_dir_ = absl::GetFlag(FLAGS_data_dir);
+        if (settings_.is_voter_ && settings_.data_dir_.empty())
+            faults_.add({"--data_dir"}, "a voter needs a data folder",
+                        "name one on a disk of this host");
+        if (settings_.bootstrap_ && !settings_.is_voter_)
+            faults_.add({"--bootstrap"}, "only voters bootstrap",
+                        "add voter to --roles or leave it out");
+    }
+
+    node_settings& settings_;
+    findings& faults_;
+};
+
+} // namespace
+
+settings_result read_node_settings(int argc, const char* const* argv)
+{
+    settings_result result;
+    settings_reader reader = make_reader();
+    parsed_arguments parsed = reader.read(argc, argv);
+    result.faults_ = parsed.faults_;
+    result.help_requested_ = parsed.help_requested_;
+    result.help_ = help_text + reader.help();
+    for (const std::string& word : parsed.positional_)
+        result.faults_.add({word}, "it is no setting",
+                           "settings begin with --");
+    if (!result.help_requested_)
+        settings_checker(result).check();
+    return result;
+}
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/node/src/peer_directory.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "dandelioncrank/node/node_settings.hpp"
+#include "dandelioncrank/peer/peer_link.hpp"
+#include "peer_messages.hpp"
+
+#include <map>
+#include <memory>
+
+namespace dandelioncrank {
+
+/// Links to all other daemons, by name.
+class peer_directory
+{
+  public:
+    explicit peer_directory(const node_settings& settings);
+    ~peer_directory();
+
+    /// Configuration revision that every message carries.
+    void set_revision(std::uint64_t revision) { revision_ = revision; }
+
+    void post(const host_name& to, peer_payload payload);
+
+    /// Sends and decodes the answer; nothing if none came or it was bad.
+    template <class Answer>
+    void ask(const host_name& to, peer_payload payload, duration limit,
+             std::function<void(std::optional<Answer>)> on_answer)
+    {
+        send(to, std::move(payload), limit,
+             [on_answer](std::optional<QByteArray> bytes) {
+                 std::optional<Answer> answer;
+                 try {
+                     if (bytes)
+                         answer = from_wire<Answer>(*bytes);
+                 } catch (const wire_error&) {
+                     answer.reset();
+                 }
+                 on_answer(std::move(answer));
+             });
+    }
+
+    [[nodiscard]] const peer_setting* find(const host_name& name) const;
+    [[nodiscard]] std::vector<host_name> others() const;
+    [[nodiscard]] std::vector<host_name> voters() const;
+    [[nodiscard]] std::uint64_t sent_bytes() const;
+    [[nodiscard]] std::uint64_t sent_messages() const;
+
+  private:
+    void send(const host_name& to, peer_payload payload, duration limit,
+              peer_link::answer_handler on_answer);
+
+    host_name self_;
+    std::vector<peer_setting> hosts_;
+    std::map<host_name, std::unique_ptr<peer_link>> links_;
+    std::uint64_t revision_ = 0;
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/node/src/peer_messages.hpp
@@ -0,0 +1,210 @@
+#pragma once
+
+#include "dandelioncrank/consensus/consensus_types.hpp"
+#include "dandelioncrank/dissemination/gossip_message.hpp"
+#include "dandelioncrank/gateway/gateway_hooks.hpp"
+#include "dandelioncrank/state/config_store.hpp"
+#include "dandelioncrank/state/state_commands.hpp"
+
+#include <map>
+#include <variant>
+#include <vector>
+
+namespace dandelioncrank {
+
+/// Asks a voter to have a command committed.
+struct state_request
+{
+    QByteArray command_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(command_);
+    }
+};
+
+enum class state_answer_kind
+{
+    done,
+    /// Ask the leader named, or any other voter.
+    not_leader,
+    /// It may or may not be committed later.
+    unsure
+};
+
+struct state_answer
+{
+    state_answer_kind kind_ = state_answer_kind::not_leader;
+    host_name leader_;
+    state_reply reply_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(kind_, leader_, reply_);
+    }
+};
+
+/// Asks for all texts that changed after a revision.
+struct config_request
+{
+    std::uint64_t have_ = 0;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(have_);
+    }
+};
+
+struct config_answer
+{
+    std::uint64_t revision_ = 0;
+    std::map<std::string, stored_text> texts_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(revision_, texts_);
+    }
+};
+
+struct slot_return_message
+{
+    service_name service_;
+    ticket_id id_;
+    slot_outcome outcome_ = slot_outcome::succeeded;
+    duration run_time_{};
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(service_, id_, outcome_, run_time_);
+    }
+};
+
+struct slot_withdraw_message
+{
+    service_name service_;
+    ticket_id id_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(service_, id_);
+    }
+};
+
+struct slot_report_message
+{
+    ticket_id id_;
+    service_name service_;
+    endpoint_name endpoint_;
+    std::string route_;
+    duration age_{};
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(id_, service_, endpoint_, route_, age_);
+    }
+};
+
+/// Answer to a slot_order; without a decision the host is not the owner.
+struct slot_answer
+{
+    std::vector<slot_decision> decision_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(decision_);
+    }
+};
+
+struct fate_request
+{
+    request_id id_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(id_);
+    }
+};
+
+struct fate_answer
+{
+    std::optional<fate_record> record_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(record_);
+    }
+};
+
+/// The records of one zone's unfinished jobs, for a new owner.
+struct jobs_request
+{
+    zone_name zone_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(zone_);
+    }
+};
+
+struct jobs_answer
+{
+    bool known_ = false;
+    std::vector<job_record> records_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(known_, records_);
+    }
+};
+
+/// An operator's or worker's call passed on to the host that can serve it.
+struct api_request
+{
+    std::string method_;
+    std::string target_;
+    std::string body_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(method_, target_, body_);
+    }
+};
+
+using peer_payload =
+    std::variant<gossip_message, consensus_message, state_request,
+                 config_request, slot_order, slot_return_message,
+                 slot_withdraw_message, slot_report_message, fate_request,
+                 jobs_request, api_request>;
+
+/// Version of the messages between daemons.
+inline constexpr std::uint32_t peer_version = 1;
+
+struct peer_message
+{
+    std::uint32_t version_ = peer_version;
+    host_name from_;
+    /// Configuration in force at the sender.
+    std::uint64_t revision_ = 0;
+    peer_payload payload_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(version_, from_, revision_, payload_);
+    }
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/node/src/zone_service.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "consensus_host.hpp"
+#include "dandelioncrank/dissemination/disseminator.hpp"
+#include "dandelioncrank/logging/part_log.hpp"
+#include "dandelioncrank/metrics/metric_registry.hpp"
+#include "dandelioncrank/scheduling/zone_scheduler.hpp"
+#include "peer_directory.hpp"
+#include "state_client.hpp"
+
+#include <QObject>
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace dandelioncrank {
+
+/// Runs the scheduler of this host's zone while this host owns it.
+///
+/// Ownership is a record of the replicated state with an epoch. A host takes
+/// it when no live host of the zone announces that it owns it; it gives it up
+/// when it hears of a higher epoch.
+class zone_service : public QObject
+{
+  public:
+    zone_service(const node_settings& settings, peer_directory& peers,
+                 disseminator& gossip, state_client& state,
+                 consensus_host* voter, metric_registry& metrics);
+    ~zone_service() override;
+
+    void configure(const configuration& rules);
+    void tick(instant now);
+
+    /// Epoch under which this host owns the zone; 0 if it does not.
+    [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
+    /// Host that owns the zone, as far as one hears.
+    [[nodiscard]] host_name owner() const;
+    /// Null unless this host owns the zone.
+    [[nodiscard]] zone_scheduler* scheduler() { return scheduler_.get(); }
+
+    using record_handler = std::function<void(command_end, job_record)>;
+    /// Puts a new job on record, then hands it to the scheduler.
+    void submit(const job_spec& spec, record_handler on_record);
+    bool cancel(const job_id& id);
+
+    using command_handler = std::function<void(std::vector<worker_command>)>;
+    /// Takes a report; answers with commands, or after the wait with none.
+    void report(const worker_report& said, duration wait,
+                command_handler on_commands);
+
+    /// Tells workers and schedulers to leave this host.
+    void stop();
+
+    std::function<void()> on_ownership_change_;
+
+  private:
+    struct waiting_poll
+    {
+        std::uint64_t number_ = 0;
+        instant deadline_;
+        command_handler on_commands_;
+    };
+
+    void consider_taking(instant now);
+    void take_ownership(const zone_result& result);
+    void fetch_jobs();
+    void start_scheduler(const std::vector<job_record>& records);
+    void give_up(const std::string& reason);
+    void feed(const scheduling_event& event);
+    void keep_record(const job_record& record);
+    void write_record(const job_id& id);
+    void claim_start(const gang_key& gang);
+    void answer_poll(const worker_name& worker);
+    void answer_late_polls(instant now);
+
+    part_log log_{"scheduler"};
+    host_name self_;
+    zone_name zone_;
+    bool enabled_;
+    duration lease_;
+    std::vector<peer_setting> hosts_;
+    peer_directory& peers_;
+    disseminator& gossip_;
+    state_client& state_;
+    consensus_host* voter_;
+    metric_registry& metrics_;
+    configuration rules_;
+    std::uint64_t nonce_;
+    std::uint64_t epoch_ = 0;
+    bool taking_ = false;
+    bool stopping_ = false;
+    instant started_at_;
+    instant unowned_since_;
+    std::unique_ptr<zone_scheduler> scheduler_;
+    std::map<job_id, job_record> dirty_records_;
+    std::set<job_id> writing_;
+    std::map<worker_name, waiting_poll> polls_;
+    std::uint64_t next_poll_ = 0;
+    instant ticked_at_{};
+};
+
+} // namespace dandelioncrank
--- /dev/null
+++ b/libs/node/test/fate_store_test.cpp
@@ -0,0 +1,16 @@
+#include "fate_store.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelioncrank;
+
+TEST_CASE("the oldest fates are forgotten first", "[fate_store]")
+{
+    fate_store store(3);
+    for (const char* id : {"a", "b", "c", "b", "d"})
+        store.record({request_id(id), fate::completed, 200, {}});
+    CHECK(store.size() == 3);
+    CHECK_FALSE(store.find(request_id("a")));
+    CHECK(store.find(request_id("b")));
+    CHECK(store.find(request_id("d")));
+}
--- /dev/null
+++ b/libs/node/test/settings_test.cpp
@@ -0,0 +1,50 @@
+#include "dandelioncrank/node/node_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelioncrank;
+
+namespace {
+
+settings_result read(std::vector<const char*> words)
+{
+    words.insert(words.begin(), "dandelioncrankd");
+    return read_node_settings(static_cast<int>(words.size()), words.data());
+}
+
+} // namespace
+
+TEST_CASE("every wrong setting of the daemon is named", "[node_settings]")
+{
+    auto result = read({"--host=a.b", "--zone=", "--roles=gateway,king",
+                        "--caller_address=nowhere", "--loops=0", "--hosts=x/y",
+                        "--log_level=loud", "--lease=1ms"});
+    std::string text = result.faults_.to_text();
+    INFO(text);
+    CHECK(result.faults_.items().size() == 8);
+    for (const char* part :
+         {"--host: it has a dot", "--zone: it is missing", "'king' is no role",
+          "'nowhere' is no address", "--loops: 0 is out of range",
+          "'x/y' is no host", "'loud' is no level",
+          "--lease: 1ms is out of range"})
+        CHECK(text.find(part) != text.npos);
+}
+
+TEST_CASE("a voter needs a data folder and a listed host", "[node_settings]")
+{
+    auto result = read({"--host=a", "--zone=z", "--roles=voter",
+                        "--caller_address=127.0.0.1:1", "--loops=2",
+                        "--hosts=b/z/127.0.0.1:1/127.0.0.1:2",
+                        "--log_level=info", "--lease=10s"});
+    std::string text = result.faults_.to_text();
+    INFO(text);
+    CHECK(text.find("a voter needs a data folder") != text.npos);
+    CHECK(text.find("is not listed") != text.npos);
+}
+
+TEST_CASE("the help names every variable", "[node_settings]")
+{
+    auto result = read({"--help"});
+    CHECK(result.help_requested_);
+    CHECK(result.help_.find("DANDELIONCRANK_DATA_DIR") != std::string::npos);
+}
--- a/libs/routing/include/dandelioncrank/routing/dispatcher.hpp
+++ b/libs/routing/include/dandelioncrank/routing/dispatcher.hpp
@@ -21,6 +21,9 @@
     /// Starts to serve a service that another host served until now.
     void take_over(const service_name& service, instant hold_until);
 
+    /// Forgets everything of a service that another host serves now.
+    void hand_over(const service_name& service);
+
     [[nodiscard]] std::vector<routing_action> handle(const routing_event& event,
                                                      instant now);
 
--- a/libs/routing/src/dispatcher.cpp
+++ b/libs/routing/src/dispatcher.cpp
@@ -29,6 +29,18 @@
         target->hold_until(hold_until);
 }
 
+void dispatcher::hand_over(const service_name& service)
+{
+    auto rule = rules_.services_.find(service);
+    if (rule == rules_.services_.end())
+        return;
+    services_[service] = std::make_unique<service_dispatcher>(
+        rule->second, policy_, seed_ ^ services_.size());
+    std::erase_if(tickets_, [&service](const auto& entry) {
+        return entry.second == service;
+    });
+}
+
 service_dispatcher* dispatcher::find(const service_name& name)
 {
     auto found = services_.find(name);
--- /dev/null
+++ b/tools/endpoint_standin.cpp
@@ -0,0 +1,167 @@
+// Stand-in for a service's endpoints: answers after a while, and keeps a
+// journal of what ran.
+#include "announcer.hpp"
+#include "stop_signal.hpp"
+
+#include "dandelioncrank/http/http_server.hpp"
+
+#include <QCoreApplication>
+#include <QTimer>
+
+#include <absl/flags/flag.h>
+
+#include <charconv>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <set>
+
+ABSL_FLAG(std::string, control, "127.0.0.1:7002",
+          "control addresses of daemons, separated by commas");
+ABSL_FLAG(std::string, service, "rota-planning", "service that it serves");
+ABSL_FLAG(std::string, zone, "leon", "availability zone");
+ABSL_FLAG(std::string, name, "endpoint", "prefix of the endpoints' names");
+ABSL_FLAG(int, count, 1, "number of endpoints in this process");
+ABSL_FLAG(int, slots, 8, "requests at a time of each endpoint");
+ABSL_FLAG(int, work_ms, 5, "run time of a request without X-Work-Ms");
+ABSL_FLAG(std::string, journal, "",
+          "file that gets a line for each request that ran");
+ABSL_FLAG(std::string, token, "", "secret for announcements");
+
+namespace {
+
+using namespace dandelioncrank;
+using namespace std::chrono_literals;
+
+constexpr auto announce_interval = 500ms;
+constexpr duration announce_limit = 2s;
+
+int read_number(const std::string& text, int missing)
+{
+    int value = missing;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+/// One endpoint on a port of its own.
+class endpoint
+{
+  public:
+    endpoint(const std::string& name, announcer& daemons,
+             std::ofstream* journal)
+        : name_(name), daemons_(daemons), journal_(journal),
+          server_({"127.0.0.1", 0}, {},
+                  [this](const http_request& request,
+                         const std::shared_ptr<responder>& reply) {
+                      serve(request, reply);
+                  })
+    {
+        QObject::connect(&timer_, &QTimer::timeout, [this] { announce(); });
+        timer_.start(announce_interval);
+        announce();
+    }
+
+    void leave()
+    {
+        leaving_ = true;
+        announce();
+    }
+
+    [[nodiscard]] bool is_idle() const { return in_flight_ == 0; }
+    [[nodiscard]] int most_in_flight() const { return most_in_flight_; }
+
+  private:
+    void announce()
+    {
+        QJsonObject body{
+            {"name", QString::fromStdString(name_)},
+            {"service", QString::fromStdString(absl::GetFlag(FLAGS_service))},
+            {"zone", QString::fromStdString(absl::GetFlag(FLAGS_zone))},
+            {"address", QString("127.0.0.1:%1").arg(server_.port())},
+            {"slots", absl::GetFlag(FLAGS_slots)},
+            {"connections", 64},
+            {"state", leaving_ ? "leaving" : "serving"}};
+        daemons_.post("/v1/endpoints/announce", body, announce_limit,
+                      [](const std::optional<QJsonObject>&) {});
+    }
+
+    void serve(const http_request& request,
+               const std::shared_ptr<responder>& reply)
+    {
+        ++in_flight_;
+        most_in_flight_ = std::max(most_in_flight_, in_flight_);
+        std::string id = request.headers_.value_or("X-Request-Id", "-");
+        if (journal_ != nullptr) {
+            *journal_ << "run " << id << ' ' << name_ << ' ' << in_flight_
+                      << '\n';
+            journal_->flush();
+        }
+        int work = read_number(request.headers_.value_or("X-Work-Ms", ""),
+                               absl::GetFlag(FLAGS_work_ms));
+        std::string body = name_ + " did " + request.method_ + ' ' +
+                           request.target_ + " for " + id + ": " +
+                           request.body_;
+        QTimer::singleShot(std::chrono::milliseconds(work), Qt::PreciseTimer,
+                           &timer_, [this, reply, body] {
+                               --in_flight_;
+                               http_response response;
+                               response.body_ = body;
+                               (*reply)(std::move(response));
+                           });
+    }
+
+    std::string name_;
+    announcer& daemons_;
+    std::ofstream* journal_;
+    http_server server_;
+    QTimer timer_;
+    int in_flight_ = 0;
+    int most_in_flight_ = 0;
+    bool leaving_ = false;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    settings_reader reader("DANDELIONCRANK_STANDIN",
+                           {"control", "service", "zone", "name", "count",
+                            "slots", "work_ms", "journal", "token"});
+    parsed_arguments parsed = reader.read(argc, argv);
+    if (parsed.help_requested_ || !parsed.faults_.empty()) {
+        std::cerr << parsed.faults_.to_text() << reader.help();
+        return parsed.help_requested_ ? 0 : 2;
+    }
+    QCoreApplication application(argc, argv);
+    announcer daemons(parse_addresses(absl::GetFlag(FLAGS_control)),
+                      absl::GetFlag(FLAGS_token));
+    std::unique_ptr<std::ofstream> journal;
+    if (!absl::GetFlag(FLAGS_journal).empty())
+        journal = std::make_unique<std::ofstream>(absl::GetFlag(FLAGS_journal),
+                                                  std::ios::app);
+    std::vector<std::unique_ptr<endpoint>> endpoints;
+    for (int i = 0; i < absl::GetFlag(FLAGS_count); ++i)
+        endpoints.push_back(std::make_unique<endpoint>(
+            absl::GetFlag(FLAGS_name) + '-' + std::to_string(i), daemons,
+            journal.get()));
+    QTimer drain;
+    QObject::connect(&drain, &QTimer::timeout, [&endpoints] {
+        for (const auto& item : endpoints) {
+            if (!item->is_idle())
+                return;
+        }
+        QCoreApplication::quit();
+    });
+    stop_signal stop([&] {
+        for (const auto& item : endpoints)
+            item->leave();
+        // The daemons stop sending within two seconds.
+        drain.start(2500ms);
+    });
+    int result = application.exec();
+    int most = 0;
+    for (const auto& item : endpoints)
+        most = std::max(most, item->most_in_flight());
+    std::cerr << "most in flight on one endpoint: " << most << '\n';
+    return result;
+}
--- /dev/null
+++ b/tools/worker_standin.cpp
@@ -0,0 +1,241 @@
+// Stand-in for workers: obeys the scheduler's commands under a lease and
+// pretends to run tasks for the time that the job's id names.
+#include "announcer.hpp"
+#include "stop_signal.hpp"
+
+#include "dandelioncrank/scheduling/scheduling_types.hpp"
+
+#include <QCoreApplication>
+#include <QJsonArray>
+#include <QTimer>
+#include <QUuid>
+
+#include <absl/flags/flag.h>
+
+#include <charconv>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+
+ABSL_FLAG(std::string, control, "127.0.0.1:7002",
+          "control addresses of daemons, separated by commas");
+ABSL_FLAG(std::string, name, "worker", "prefix of the workers' names");
+ABSL_FLAG(int, count, 12, "number of workers in this process");
+ABSL_FLAG(int, per_rack, 6, "workers in a rack");
+ABSL_FLAG(int, accelerators, 8, "accelerators of each worker");
+ABSL_FLAG(int, processors, 64, "processors of each worker");
+ABSL_FLAG(int, memory_mb, 131072, "memory of each worker, in MB");
+ABSL_FLAG(int, run_ms, 2000,
+          "run time of a task whose job id does not end in -NUMBERms");
+ABSL_FLAG(int, heartbeat_ms, 2000, "longest time between reports");
+ABSL_FLAG(int, lease_ms, 10000,
+          "tasks end when reports go unanswered for so long");
+ABSL_FLAG(std::string, journal, "", "file that gets a line for each start");
+ABSL_FLAG(std::string, token, "", "secret for reports");
+
+namespace {
+
+using namespace dandelioncrank;
+using namespace std::chrono_literals;
+
+constexpr auto retry_time = 200ms;
+
+/// "nightly-300ms" runs for 300 ms.
+std::chrono::milliseconds run_time_of(const std::string& job)
+{
+    int value = absl::GetFlag(FLAGS_run_ms);
+    auto dash = job.rfind('-');
+    if (dash != std::string::npos && job.ends_with("ms"))
+        std::from_chars(job.data() + dash + 1, job.data() + job.size() - 2,
+                        value);
+    return std::chrono::milliseconds(value);
+}
+
+/// One worker with its tasks.
+class worker : public QObject
+{
+  public:
+    worker(int index, announcer& daemons, std::ofstream* journal)
+        : name_(absl::GetFlag(FLAGS_name) + '-' + std::to_string(index)),
+          rack_("rack-" +
+                std::to_string(index / absl::GetFlag(FLAGS_per_rack))),
+          incarnation_(QUuid::createUuid().toString(QUuid::WithoutBraces)),
+          daemons_(daemons), journal_(journal), answered_at_(steady_now())
+    {
+        report();
+    }
+
+  private:
+    struct part
+    {
+        part_state state_ = part_state::held;
+        int tasks_ = 0;
+        int accelerators_ = 0;
+    };
+
+    // One report is under way at a time; a change while it waits at the
+    // daemon sends another one at once.
+    void report()
+    {
+        std::uint64_t number = ++report_;
+        int wait = absl::GetFlag(FLAGS_heartbeat_ms);
+        auto limit = std::chrono::milliseconds(wait + 2000);
+        daemons_.post("/v1/workers/report", describe(wait), limit,
+                      [this, number](const std::optional<QJsonObject>& answer) {
+                          take_answer(number, answer);
+                      });
+    }
+
+    QJsonObject describe(int wait) const
+    {
+        QJsonArray parts;
+        for (const auto& [gang, item] : parts_) {
+            parts.append(QJsonObject{
+                {"job", QString::fromStdString(gang.job_.str())},
+                {"attempt", static_cast<qint64>(gang.attempt_)},
+                {"state", QString::fromStdString(to_text(item.state_))},
+                {"tasks", item.tasks_},
+                {"accelerators", item.accelerators_}});
+        }
+        return {{"name", QString::fromStdString(name_)},
+                {"rack", QString::fromStdString(rack_)},
+                {"accelerators", absl::GetFlag(FLAGS_accelerators)},
+                {"processors", absl::GetFlag(FLAGS_processors)},
+                {"memory_mb", absl::GetFlag(FLAGS_memory_mb)},
+                {"incarnation", incarnation_},
+                {"epoch", static_cast<qint64>(epoch_)},
+                {"applied", static_cast<qint64>(applied_)},
+                {"parts", parts},
+                {"wait_ms", wait}};
+    }
+
+    void take_answer(std::uint64_t number,
+                     const std::optional<QJsonObject>& answer)
+    {
+        instant now = steady_now();
+        if (answer) {
+            answered_at_ = now;
+            for (const QJsonValue& value : (*answer)["commands"].toArray())
+                obey(value.toObject());
+        }
+        auto lease = std::chrono::milliseconds(absl::GetFlag(FLAGS_lease_ms));
+        if (now - answered_at_ >= lease)
+            parts_.clear();
+        // A newer report has taken this one's place.
+        if (number != report_)
+            return;
+        if (answer)
+            report();
+        else
+            QTimer::singleShot(retry_time, this, [this, number] {
+                if (number == report_)
+                    report();
+            });
+    }
+
+    void obey(const QJsonObject& command)
+    {
+        auto epoch = static_cast<std::uint64_t>(command["epoch"].toInteger());
+        auto number = static_cast<std::uint64_t>(command["number"].toInteger());
+        if (epoch > epoch_) {
+            epoch_ = epoch;
+            applied_ = 0;
+        }
+        if (epoch < epoch_ || number <= applied_)
+            return;
+        applied_ = number;
+        gang_key gang{
+            job_id(command["job"].toString().toStdString()),
+            static_cast<std::uint64_t>(command["attempt"].toInteger())};
+        QString kind = command["kind"].toString();
+        if (kind == "hold")
+            hold(gang, command["tasks"].toInt(),
+                 command["accelerators"].toInt());
+        else if (kind == "start")
+            start(gang);
+        else if (kind == "checkpoint")
+            checkpoint(gang);
+        else if (kind == "stop")
+            parts_.erase(gang);
+    }
+
+    void hold(const gang_key& gang, int tasks, int accelerators)
+    {
+        int used = 0;
+        for (const auto& [key, item] : parts_)
+            used += item.tasks_ * item.accelerators_;
+        bool fits =
+            used + tasks * accelerators <= absl::GetFlag(FLAGS_accelerators);
+        parts_[gang] = {fits ? part_state::held : part_state::refused, tasks,
+                        fits ? accelerators : 0};
+    }
+
+    void start(const gang_key& gang)
+    {
+        auto found = parts_.find(gang);
+        if (found == parts_.end() || found->second.state_ != part_state::held)
+            return;
+        found->second.state_ = part_state::running;
+        if (journal_ != nullptr) {
+            *journal_ << "start " << gang.job_.str() << ' ' << gang.attempt_
+                      << ' ' << name_ << ' ' << found->second.tasks_ << '\n';
+            journal_->flush();
+        }
+        QTimer::singleShot(run_time_of(gang.job_.str()), this, [this, gang] {
+            auto item = parts_.find(gang);
+            if (item == parts_.end() ||
+                item->second.state_ != part_state::running)
+                return;
+            item->second.state_ = part_state::finished;
+            report();
+        });
+    }
+
+    void checkpoint(const gang_key& gang)
+    {
+        auto found = parts_.find(gang);
+        if (found != parts_.end() &&
+            found->second.state_ == part_state::running)
+            found->second.state_ = part_state::checkpointed;
+    }
+
+    std::string name_;
+    std::string rack_;
+    QString incarnation_;
+    announcer& daemons_;
+    std::ofstream* journal_;
+    std::map<gang_key, part> parts_;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t applied_ = 0;
+    std::uint64_t report_ = 0;
+    instant answered_at_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    settings_reader reader("DANDELIONCRANK_STANDIN",
+                           {"control", "name", "count", "per_rack",
+                            "accelerators", "processors", "memory_mb", "run_ms",
+                            "heartbeat_ms", "lease_ms", "journal", "token"});
+    parsed_arguments parsed = reader.read(argc, argv);
+    if (parsed.help_requested_ || !parsed.faults_.empty()) {
+        std::cerr << parsed.faults_.to_text() << reader.help();
+        return parsed.help_requested_ ? 0 : 2;
+    }
+    QCoreApplication application(argc, argv);
+    std::vector<host_port> addresses =
+        parse_addresses(absl::GetFlag(FLAGS_control));
+    std::unique_ptr<std::ofstream> journal;
+    if (!absl::GetFlag(FLAGS_journal).empty())
+        journal = std::make_unique<std::ofstream>(absl::GetFlag(FLAGS_journal),
+                                                  std::ios::app);
+    announcer daemons(addresses, absl::GetFlag(FLAGS_token));
+    std::vector<std::unique_ptr<worker>> workers;
+    for (int i = 0; i < absl::GetFlag(FLAGS_count); ++i)
+        workers.push_back(std::make_unique<worker>(i, daemons, journal.get()));
+    stop_signal stop([] { QCoreApplication::quit(); });
+    return application.exec();
+}
