--- a/apps/tool_commands.cpp
+++ b/apps/tool_commands.cpp
@@ -178,10 +178,14 @@
     return worst;
 }
 
-/// Version in force of the text that a file would replace.
-qint64 version_in_force(const command_context& context, const QString& text)
+/// Version in force of the text that a file would replace; nothing if the
+/// daemon does not know.
+std::optional<qint64> version_in_force(const command_context& context,
+                                       const QString& text)
 {
     auto answer = context.client_.get("/v1/config");
+    if (exit_for(answer.status_) != tool_exit::success)
+        return std::nullopt;
     QJsonObject texts = answer.body_["texts"].toObject();
     // The subject is in the first words: "budget: NAME" or "town: NAME".
     QString first = text.section('\n', 0, 0).trimmed();
@@ -201,15 +205,20 @@
     QString id = context.options_.request_id_.empty()
                      ? QUuid::createUuid().toString(QUuid::WithoutBraces)
                      : QString::fromStdString(context.options_.request_id_);
-    qint64 replaces = context.options_.replaces_ >= 0
-                          ? context.options_.replaces_
-                          : version_in_force(context, body);
+    std::optional<qint64> replaces = context.options_.replaces_;
+    if (*replaces < 0)
+        replaces = version_in_force(context, body);
+    if (!replaces) {
+        std::cerr << "dandelioncrank: the daemon does not say which version "
+                     "is in force\n";
+        return tool_exit::failed;
+    }
     QJsonObject call{
         {"file", QString::fromStdString(name)},
         {"text", body},
         {"author", QString::fromStdString(context.options_.author_)},
         {"request_id", id},
-        {"replaces", replaces}};
+        {"replaces", *replaces}};
     tool_answer answer;
     for (int i = 0; i < submit_tries; ++i) {
         answer = context.client_.post("/v1/config/submit", call);
--- /dev/null
+++ b/bench/closed_loop.cpp
@@ -0,0 +1,119 @@
+// Closed loop of a fixed number of connections against one address; prints
+// latency and rate. The address may be a gateway's or an endpoint's.
+#include "announcer.hpp"
+#include "dandelioncrank/http/client_connection.hpp"
+
+#include <QCoreApplication>
+
+#include <absl/flags/flag.h>
+
+#include <algorithm>
+#include <iostream>
+#include <memory>
+
+ABSL_FLAG(std::string, address, "127.0.0.1:7001", "IP:PORT to call");
+ABSL_FLAG(std::string, target, "/services/rota-planning/check",
+          "target of each request");
+ABSL_FLAG(int, connections, 1, "requests at a time");
+ABSL_FLAG(int, requests, 2000, "requests in all");
+
+namespace {
+
+using namespace dandelioncrank;
+using namespace std::chrono_literals;
+
+/// Sends one request after another on each connection.
+class closed_loop
+{
+  public:
+    explicit closed_loop(const host_port& address) : address_(address)
+    {
+        for (int i = 0; i < absl::GetFlag(FLAGS_connections); ++i)
+            connections_.push_back(
+                std::make_unique<client_connection>(address, http_limits{}));
+        started_at_ = steady_now();
+        for (std::size_t i = 0; i < connections_.size(); ++i)
+            send(i);
+    }
+
+    void print()
+    {
+        std::chrono::duration<double> passed = steady_now() - started_at_;
+        std::sort(times_.begin(), times_.end());
+        auto at = [this](double share) {
+            auto index = static_cast<std::size_t>(
+                share * static_cast<double>(times_.size() - 1));
+            return times_.empty() ? 0.0 : times_[index];
+        };
+        std::cout << "{\"connections\":" << connections_.size()
+                  << ",\"answered\":" << times_.size()
+                  << ",\"failed\":" << failed_ << ",\"p50_ms\":" << at(0.5)
+                  << ",\"p99_ms\":" << at(0.99) << ",\"per_s\":"
+                  << static_cast<double>(times_.size()) / passed.count()
+                  << "}\n";
+    }
+
+  private:
+    void send(std::size_t index)
+    {
+        if (sent_ >= absl::GetFlag(FLAGS_requests)) {
+            if (done_ >= sent_)
+                QCoreApplication::quit();
+            return;
+        }
+        ++sent_;
+        auto& connection = connections_[index];
+        if (!connection->is_reusable())
+            connection =
+                std::make_unique<client_connection>(address_, http_limits{});
+        http_request request;
+        request.target_ = absl::GetFlag(FLAGS_target);
+        request.headers_.add("Host", address_.to_text());
+        request.headers_.add("X-Work-Ms", "0");
+        instant begin = steady_now();
+        connection->send(request, 20s,
+                         [this, index, begin](const client_outcome& outcome) {
+                             finish(begin, outcome);
+                             QMetaObject::invokeMethod(
+                                 connections_[index].get(),
+                                 [this, index] { send(index); },
+                                 Qt::QueuedConnection);
+                         });
+    }
+
+    void finish(instant begin, const client_outcome& outcome)
+    {
+        ++done_;
+        const auto* answered = std::get_if<request_answered>(&outcome);
+        if (answered != nullptr && answered->response_.status_ == 200)
+            times_.push_back(to_milliseconds(steady_now() - begin));
+        else
+            ++failed_;
+    }
+
+    host_port address_;
+    std::vector<std::unique_ptr<client_connection>> connections_;
+    instant started_at_;
+    std::vector<double> times_;
+    int sent_ = 0;
+    int done_ = 0;
+    int failed_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    settings_reader reader("DANDELIONCRANK_LOOP",
+                           {"address", "target", "connections", "requests"});
+    parsed_arguments parsed = reader.read(argc, argv);
+    if (!parsed.faults_.empty()) {
+        std::cerr << parsed.faults_.to_text();
+        return 2;
+    }
+    QCoreApplication application(argc, argv);
+    closed_loop loop(parse_addresses(absl::GetFlag(FLAGS_address)).front());
+    int result = application.exec();
+    loop.print();
+    return result;
+}
--- /dev/null
+++ b/bench/figures.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
+namespace dandelioncrank::bench {
+
+/// Value below which the given share of the values lies.
+inline double percentile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    auto index = static_cast<std::size_t>(
+        share * static_cast<double>(values.size() - 1));
+    return values[index];
+}
+
+inline double mean(const std::vector<double>& values)
+{
+    double sum = 0;
+    for (double value : values)
+        sum += value;
+    return values.empty() ? 0 : sum / static_cast<double>(values.size());
+}
+
+/// Memory that this process has resident, in bytes.
+inline double resident_bytes()
+{
+    std::ifstream file("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
+/// Collects named figures and prints them as one JSON line.
+class json_line
+{
+  public:
+    explicit json_line(const std::string& name)
+        : text_("{\"bench\":\"" + name + "\"")
+    {
+    }
+
+    json_line& add(const std::string& key, double value)
+    {
+        char digits[32];
+        std::snprintf(digits, sizeof digits, "%.4g", value);
+        text_ += ",\"" + key + "\":" + digits;
+        return *this;
+    }
+
+    json_line& add(const std::string& key, const std::string& value)
+    {
+        text_ += ",\"" + key + "\":\"" + value + "\"";
+        return *this;
+    }
+
+    /// Whether a figure meets the target from the issue.
+    json_line& met(bool good)
+    {
+        text_ += std::string(",\"met\":") + (good ? "true" : "false");
+        return *this;
+    }
+
+    void print() const { std::cout << text_ << "}" << std::endl; }
+
+  private:
+    std::string text_;
+};
+
+} // namespace dandelioncrank::bench
--- a/libs/node/src/control_api.cpp
+++ b/libs/node/src/control_api.cpp
@@ -204,6 +204,12 @@
 
 void control_api::show_config(const reply& on_reply) const
 {
+    // An operator would base the next change on what is shown here.
+    if (!gossip_.self().serving_) {
+        on_reply(error_answer(503, "this host has just started or is "
+                                   "stopping; ask another one"));
+        return;
+    }
     QJsonObject texts;
     for (const auto& [subject, text] : config_.texts()) {
         texts[to_qt(subject)] =
--- a/libs/routing/test/fake_fleet.hpp
+++ b/libs/routing/test/fake_fleet.hpp
@@ -2,6 +2,8 @@
 
 #include "dandelioncrank/routing/dispatcher.hpp"
 
+#include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <queue>
@@ -130,6 +132,9 @@
     [[nodiscard]] int most_in_flight() const { return most_in_flight_; }
     [[nodiscard]] int starts_while_leaving() const { return late_starts_; }
     [[nodiscard]] instant now() const { return now_; }
+    /// Longest time that a request waited while the slot that it got was
+    /// idle already.
+    [[nodiscard]] duration longest_idle_slot() const { return longest_idle_; }
 
   private:
     static constexpr instant longest_run{std::chrono::hours(24)};
@@ -152,6 +157,7 @@
         std::size_t record_;
         int attempt_;
         std::vector<endpoint_name> avoid_;
+        instant asked_at_;
     };
 
     static host_name host_of(int index)
@@ -213,7 +219,7 @@
         wanted.deadline_ = request.at_ + request.deadline_;
         wanted.attempt_ = number;
         wanted.avoid_ = avoid;
-        attempts_[wanted.id_] = {index, number, std::move(avoid)};
+        attempts_[wanted.id_] = {index, number, std::move(avoid), now_};
         at(now_ + jitter(options_.host_delay_),
            [this, wanted] { feed(ticket_submitted{wanted}); });
     }
@@ -274,6 +280,7 @@
             return;
         auto place = static_cast<std::size_t>(endpoint);
         ++in_flight_[place];
+        note_idle_time(place, tried.asked_at_);
         most_in_flight_ = std::max(most_in_flight_, in_flight_[place]);
         late_starts_ += leaving_.contains(endpoint);
         request_record& record = records_[tried.record_];
@@ -295,10 +302,22 @@
         });
     }
 
+    // The slot that has been free longest counts as the one taken.
+    void note_idle_time(std::size_t endpoint, instant asked_at)
+    {
+        auto& freed = freed_at_[static_cast<int>(endpoint)];
+        if (freed.empty())
+            return;
+        instant from = std::max(freed.front(), asked_at);
+        freed.pop_front();
+        longest_idle_ = std::max(longest_idle_, now_ - from);
+    }
+
     void end(const slot_granted& granted, int endpoint, duration length,
              bool fails)
     {
         --in_flight_[static_cast<std::size_t>(endpoint)];
+        freed_at_[endpoint].push_back(now_);
         attempt tried = attempts_.at(granted.id_);
         attempts_.erase(granted.id_);
         if (records_[tried.record_].done_)
@@ -353,6 +372,8 @@
     std::set<int> leaving_;
     std::set<int> lost_hosts_;
     std::size_t open_ = 0;
+    std::map<int, std::deque<instant>> freed_at_;
+    duration longest_idle_{};
     int most_in_flight_ = 0;
     int late_starts_ = 0;
 };
--- /dev/null
+++ b/scripts/group.sh
@@ -0,0 +1,67 @@
+# Starts and ends a group of five daemons on loopback for checks; to be
+# sourced. Three zones, three of the daemons' hosts in one of them.
+#
+# group_start DIR      starts h1..h5 with data folders under DIR
+# daemon_start N       starts one of them (again)
+# daemon_kill N        ends one of them at once
+# tool N WORDS...      runs the command-line tool against one of them
+bin=${bin:-build/release/bin}
+zones=(- leon leon celaya celaya irapuato)
+declare -A daemon_pids
+
+group_hosts() {
+    local list="" i
+    for i in 1 2 3 4 5; do
+        list+="${list:+,}h$i/${zones[$i]}/127.0.1.$i:$((base + 3))"
+        list+="/127.0.1.$i:$((base + 2))/voter"
+    done
+    echo "$list"
+}
+
+daemon_start() {
+    local i=$1 first=${2:-}
+    "$bin/dandelioncrankd" --host="h$i" --zone="${zones[$i]}" \
+        --roles=gateway,scheduler,voter --hosts="$(group_hosts)" \
+        --caller_address="127.0.1.$i:$((base + 1))" \
+        --control_address="127.0.1.$i:$((base + 2))" \
+        --peer_address="127.0.1.$i:$((base + 3))" \
+        --operator_address="127.0.1.$i:$((base + 4))" \
+        --data_dir="$work/data-$i" $first 2>>"$work/h$i.log" &
+    daemon_pids[$i]=$!
+}
+
+daemon_kill() {
+    kill -KILL "${daemon_pids[$1]}" 2>/dev/null || true
+    wait "${daemon_pids[$1]}" 2>/dev/null || true
+}
+
+tool() {
+    local i=$1
+    shift
+    "$bin/dandelioncrank" --control="127.0.1.$i:$((base + 2))" \
+        --operator_page="127.0.1.$i:$((base + 4))" "$@"
+}
+
+group_start() {
+    work=$1
+    base=${base:-17000}
+    local i
+    for i in 1 2 3 4 5; do daemon_start "$i" --bootstrap; done
+}
+
+group_end() {
+    local pid
+    for pid in "${daemon_pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+    for pid in "${daemon_pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+}
+
+# Retries a command until it succeeds; fails after a bounded number.
+until_done() {
+    local _
+    for _ in $(seq 200); do
+        if "$@" >"$work/out" 2>&1; then return 0; fi
+        sleep 0.05
+    done
+    cat "$work/out"
+    return 1
+}
