routing, scheduling: slowness against the pool, routes by their middle run time, reservations for waiting gangs

Change: routes are classed by their median, slowness is a mean of logarithms against the pool's; gangs that have waited 20 s keep up to a quarter of the pool to themselves; swaps use an index of running gangs.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -95,7 +95,7 @@
     std::vector<point> memory;
     std::vector<point> time;
     for (int workers : {350, 700, 1400, 2800}) {
-        double before = resident_bytes();
+        double before = allocated_bytes();
         scheduler_options options;
         options.zone_ = zone_name("z");
         options.wait_for_reports_ = false;
@@ -122,7 +122,7 @@
             }
         });
         time.push_back({double(workers), took / 10});
-        memory.push_back({double(workers), resident_bytes() - before});
+        memory.push_back({double(workers), allocated_bytes() - before});
     }
     print_slope("scheduler memory", "bytes per worker", memory);
     print_slope("scheduler heartbeat", "core seconds per worker report", time);
@@ -190,8 +190,7 @@
             core.tick(now, out);
             for (const auto& action : out) {
                 if (const auto* item = std::get_if<gossip_send>(&action))
-                    sent += static_cast<double>(
-                        to_wire(item->message_).size());
+                    sent += static_cast<double>(to_wire(item->message_).size());
             }
         }
         // HTTP/2 and TCP add to each message about as much again.
@@ -217,7 +216,7 @@
     std::vector<point> claims;
     std::vector<point> snapshot;
     for (int count : {5000, 10000, 20000, 40000}) {
-        double before = resident_bytes();
+        double before = allocated_bytes();
         auto state = std::make_unique<replicated_state>();
         for (int i = 0; i < count; ++i) {
             take_claim claim{"rota/key-" + std::to_string(i),
@@ -225,17 +224,16 @@
                              host_name("h1"), 1};
             state->apply({std::chrono::sys_seconds(1000h), claim});
         }
-        claims.push_back({double(count), resident_bytes() - before});
+        claims.push_back({double(count), allocated_bytes() - before});
         snapshot.push_back(
-            {double(count),
-             seconds_of([&state] { (void)state->snapshot(); })});
+            {double(count), seconds_of([&state] { (void)state->snapshot(); })});
     }
     print_slope("claims", "bytes per claim", claims);
     print_slope("snapshot", "core seconds per claim", snapshot);
 
     std::vector<point> jobs;
     for (int count : {5000, 19000, 38000}) {
-        double before = resident_bytes();
+        double before = allocated_bytes();
         auto state = std::make_unique<replicated_state>();
         for (int i = 0; i < count; ++i) {
             job_record record;
@@ -244,7 +242,7 @@
             state->apply({std::chrono::sys_seconds(1000h),
                           put_job{zone_name("leon"), record, 0, true}});
         }
-        jobs.push_back({double(count), resident_bytes() - before});
+        jobs.push_back({double(count), allocated_bytes() - before});
     }
     print_slope("jobs", "bytes per job", jobs);
 
@@ -265,8 +263,8 @@
     for (int teams : {35, 70, 140, 280}) {
         std::string budget = "budget: b\nzones:\n";
         for (int i = 0; i < 16; ++i)
-            budget += "  - {name: z" + std::to_string(i) +
-                      ", region: r" + std::to_string(i % 5) +
+            budget += "  - {name: z" + std::to_string(i) + ", region: r" +
+                      std::to_string(i % 5) +
                       ", racks: 175, workers_per_rack: 8, accelerators: 2}\n";
         budget += "teams:\n";
         for (int i = 0; i < teams; ++i)
@@ -276,11 +274,11 @@
                       ", blocks: 2, accelerators: 16, within: rack}\n";
         std::vector<config_text> texts = {{"budget.yaml", budget}};
         for (int i = 0; i < teams; ++i)
-            texts.push_back(
-                {"town.yaml", "town: town-" + std::to_string(i) +
-                                  "\nservices:\n  - name: s" +
-                                  std::to_string(i) + "\n    team: team-" +
-                                  std::to_string(i) + "\n"});
+            texts.push_back({"town.yaml", "town: town-" + std::to_string(i) +
+                                              "\nservices:\n  - name: s" +
+                                              std::to_string(i) +
+                                              "\n    team: team-" +
+                                              std::to_string(i) + "\n"});
         double took = seconds_of([&texts] { (void)check_texts(texts); });
         time.push_back({double(teams), took});
     }
--- a/bench/closed_loop.cpp
+++ b/bench/closed_loop.cpp
@@ -71,14 +71,13 @@
         request.headers_.add("Host", address_.to_text());
         request.headers_.add("X-Work-Ms", "0");
         instant begin = steady_now();
-        connection->send(request, 20s,
-                         [this, index, begin](const client_outcome& outcome) {
-                             finish(begin, outcome);
-                             QMetaObject::invokeMethod(
-                                 connections_[index].get(),
-                                 [this, index] { send(index); },
-                                 Qt::QueuedConnection);
-                         });
+        connection->send(
+            request, 20s, [this, index, begin](const client_outcome& outcome) {
+                finish(begin, outcome);
+                QMetaObject::invokeMethod(
+                    connections_[index].get(), [this, index] { send(index); },
+                    Qt::QueuedConnection);
+            });
     }
 
     void finish(instant begin, const client_outcome& outcome)
--- a/bench/figures.hpp
+++ b/bench/figures.hpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <fstream>
+#include <cstdio>
 #include <iostream>
 #include <string>
 #include <vector>
 
-#include <unistd.h>
+#include <malloc.h>
 
 namespace dandelioncrank::bench {
 
@@ -30,14 +30,12 @@
     return values.empty() ? 0 : sum / static_cast<double>(values.size());
 }
 
-/// Memory that this process has resident, in bytes.
-inline double resident_bytes()
+/// Memory in use by this process's objects, in bytes.
+inline double allocated_bytes()
 {
-    std::ifstream file("/proc/self/statm");
-    double total = 0;
-    double resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE));
+    struct mallinfo2 info = ::mallinfo2();
+    return static_cast<double>(info.uordblks) +
+           static_cast<double>(info.hblkhd);
 }
 
 /// Collects named figures and prints them as one JSON line.
--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -70,8 +70,7 @@
     double long_p99_ = 0;
 };
 
-wait_figures measure_waits(int endpoints, queue_policy policy,
-                           bool same_route)
+wait_figures measure_waits(int endpoints, queue_policy policy, bool same_route)
 {
     fleet_options options;
     options.endpoints_ = endpoints;
@@ -143,8 +142,8 @@
             refused_that_ran += record.runs_ > 0;
             continue;
         }
-        completed += record.ended_ >= instant(10s) &&
-                     record.ended_ < instant(20s);
+        completed +=
+            record.ended_ >= instant(10s) && record.ended_ < instant(20s);
         instant at = record.request_.at_;
         if (at >= instant(5s) && at < instant(10s))
             before.push_back(total);
--- a/bench/scheduler_cost_bench.cpp
+++ b/bench/scheduler_cost_bench.cpp
@@ -50,10 +50,10 @@
         scheduler_->configure(make_rules(workers), now_);
         for (int i = 0; i < workers; ++i) {
             worker_report report;
-            report.info_ = {worker_name("w" + std::to_string(i)),
-                            rack_name("r" +
-                                      std::to_string(i / workers_per_rack)),
-                            8, 256, 1 << 20};
+            report.info_ = {
+                worker_name("w" + std::to_string(i)),
+                rack_name("r" + std::to_string(i / workers_per_rack)), 8, 256,
+                1 << 20};
             report.incarnation_ = "1";
             reports_.push_back(report);
             index_[report.info_.name_] = static_cast<std::size_t>(i);
@@ -191,7 +191,7 @@
 // density at smaller sizes.
 void bench_cost(int workers)
 {
-    double before = resident_bytes();
+    double before = allocated_bytes();
     instant_workers pool(workers);
     pool.report_all();
     pool.tick();
@@ -211,7 +211,7 @@
         pool.tick();
         pool.settle();
     }
-    double bytes = resident_bytes() - before;
+    double bytes = allocated_bytes() - before;
     // What filling the pool cost does not count; the steady state does.
     pool.times_.clear();
     pool.report_all();
@@ -261,8 +261,8 @@
     std::vector<double> waits;
     int missing = 0;
     for (int i = 0; i < urgent; ++i) {
-        const auto& truth = pool.truths().at(
-            job_id("j" + std::to_string(1000000 + i)));
+        const auto& truth =
+            pool.truths().at(job_id("j" + std::to_string(1000000 + i)));
         if (!truth.started_) {
             ++missing;
             continue;
--- a/bench/scheduling_bench.cpp
+++ b/bench/scheduling_bench.cpp
@@ -57,8 +57,8 @@
     while (area < wanted) {
         traced_job job;
         int width = std::min(plan.widest_, widths[random() % widths.size()]);
-        double seconds = std::max(
-            2.0, run(random) / run_mean * plan.mean_minutes_ * 60);
+        double seconds =
+            std::max(2.0, run(random) / run_mean * plan.mean_minutes_ * 60);
         // Wide work with a very long tail would be the whole trace.
         seconds = std::min(seconds, plan.hours_ * 3600 / 2);
         job.run_time_ = duration(static_cast<duration::rep>(seconds * 1e6));
@@ -82,22 +82,20 @@
         bursts.push_back(unit(random) * plan.hours_ * 3600);
     for (traced_job& job : jobs) {
         bool in_burst = unit(random) < 0.33;
-        job.at_ = in_burst ? bursts[random() % bursts.size()] +
-                                 unit(random) * 10
-                           : unit(random) * plan.hours_ * 3600;
+        job.at_ = in_burst
+                      ? bursts[random() % bursts.size()] + unit(random) * 10
+                      : unit(random) * plan.hours_ * 3600;
     }
-    std::sort(jobs.begin(), jobs.end(),
-              [](const traced_job& a, const traced_job& b) {
-                  return a.at_ < b.at_;
-              });
+    std::sort(
+        jobs.begin(), jobs.end(),
+        [](const traced_job& a, const traced_job& b) { return a.at_ < b.at_; });
     return jobs;
 }
 
 configuration make_rules(const trace_plan& plan)
 {
     configuration rules;
-    zone_rule zone{zone_name("z"), "r", plan.racks_, plan.workers_per_rack_,
-                   8};
+    zone_rule zone{zone_name("z"), "r", plan.racks_, plan.workers_per_rack_, 8};
     rules.zones_.emplace(zone.name_, zone);
     for (const char* name : {"a", "b", "c", "d"}) {
         team_rule team;
@@ -218,8 +216,8 @@
     instant begin = pool.now() + 20s;
     for (const traced_job& job : jobs)
         pool.submit(job.spec_, job.run_time_,
-                    begin + duration(static_cast<duration::rep>(job.at_ *
-                                                                1e6)));
+                    begin +
+                        duration(static_cast<duration::rep>(job.at_ * 1e6)));
     pool.run_to_end(begin + 2000h);
     probe.finish();
     for (const traced_job& job : jobs) {
@@ -287,14 +285,13 @@
 {
     double mean_ratio = mean(own.jct_) / mean(base.jct_);
     double bound_ratio = mean(own.jct_) / mean(bound);
-    double p99_ratio =
-        percentile(own.jct_, 0.99) / percentile(base.jct_, 0.99);
+    double p99_ratio = percentile(own.jct_, 0.99) / percentile(base.jct_, 0.99);
     double short_ratio = percentile(own.short_waits_, 0.99) /
                          std::max(0.001, percentile(base.short_waits_, 0.99));
-    double placed = own.blocked_ == 0
-                        ? 1.0
-                        : 1.0 - static_cast<double>(own.blocked_too_long_) /
-                                    own.blocked_;
+    double placed =
+        own.blocked_ == 0
+            ? 1.0
+            : 1.0 - static_cast<double>(own.blocked_too_long_) / own.blocked_;
     json_line("trace")
         .add("trace", plan.name_)
         .add("policy", policy)
@@ -314,9 +311,8 @@
         .print();
 }
 
-scheduler_options policy_options(order_policy order,
-                                 placement_policy placement, bool preempt,
-                                 bool backfill)
+scheduler_options policy_options(order_policy order, placement_policy placement,
+                                 bool preempt, bool backfill)
 {
     scheduler_options options;
     options.order_ = order;
@@ -330,25 +326,25 @@
 {
     auto jobs = make_trace(plan);
     auto bound = clairvoyant(plan, jobs);
-    auto fifo = run_trace(
-        plan, jobs,
-        policy_options(order_policy::first_in_first_out,
-                       placement_policy::first_fit, false, false));
+    auto fifo =
+        run_trace(plan, jobs,
+                  policy_options(order_policy::first_in_first_out,
+                                 placement_policy::first_fit, false, false));
     print_case(plan, "fifo first fit", fifo, fifo, bound);
-    auto backfill = run_trace(
-        plan, jobs,
-        policy_options(order_policy::first_in_first_out,
-                       placement_policy::first_fit, false, true));
+    auto backfill =
+        run_trace(plan, jobs,
+                  policy_options(order_policy::first_in_first_out,
+                                 placement_policy::first_fit, false, true));
     print_case(plan, "fifo with backfill", backfill, fifo, bound);
-    auto declared = run_trace(
-        plan, jobs,
-        policy_options(order_policy::shortest_declared,
-                       placement_policy::best_fit, true, true));
+    auto declared =
+        run_trace(plan, jobs,
+                  policy_options(order_policy::shortest_declared,
+                                 placement_policy::best_fit, true, true));
     print_case(plan, "shortest declared", declared, fifo, bound);
-    auto attained = run_trace(
-        plan, jobs,
-        policy_options(order_policy::attained_service,
-                       placement_policy::best_fit, true, true));
+    auto attained =
+        run_trace(plan, jobs,
+                  policy_options(order_policy::attained_service,
+                                 placement_policy::best_fit, true, true));
     print_case(plan, "attained service", attained, fifo, bound);
 }
 
--- a/bench/state_bench.cpp
+++ b/bench/state_bench.cpp
@@ -178,8 +178,7 @@
             .add("p99_ms", percentile(times, 0.99) * 1e3)
             .add("synced_append_p50_ms", append * 1e3)
             .add("p50_to_append", percentile(times, 0.5) / append)
-            .add("bytes_per_commit_sent",
-                 group.sent_bytes_ / (rounds * batch))
+            .add("bytes_per_commit_sent", group.sent_bytes_ / (rounds * batch))
             .print();
     }
 }
@@ -219,13 +218,13 @@
 {
     for (int count : {1000, 10000, 100000}) {
         for (bool jobs : {true, false}) {
-            double before = resident_bytes();
+            double before = allocated_bytes();
             auto state = std::make_unique<replicated_state>();
             auto begin = wall_clock::now();
             for (int i = 0; i < count; ++i)
                 state->apply(jobs ? make_job(i) : make_claim(i));
             double apply = seconds_since(begin);
-            double memory = resident_bytes() - before;
+            double memory = allocated_bytes() - before;
             begin = wall_clock::now();
             auto size = static_cast<double>(state->snapshot().size());
             json_line("state_weight")
--- a/libs/consensus/src/replication.cpp
+++ b/libs/consensus/src/replication.cpp
@@ -186,9 +186,8 @@
     }
     if (fault_ == consensus_fault::learners_count_as_quorum) {
         for (const voter_name& learner : members().learners_)
-            matches.push_back(peers_.contains(learner)
-                                  ? peers_.at(learner).match_
-                                  : 0);
+            matches.push_back(
+                peers_.contains(learner) ? peers_.at(learner).match_ : 0);
     }
     std::sort(matches.begin(), matches.end(), std::greater<>());
     log_index agreed = matches[quorum() - 1];
--- a/libs/consensus/test/deliberate_fault_test.cpp
+++ b/libs/consensus/test/deliberate_fault_test.cpp
@@ -101,6 +101,5 @@
           "[consensus_faults]")
 {
     CHECK_FALSE(blocks_on_absent_replacement(consensus_fault::none));
-    CHECK(blocks_on_absent_replacement(
-        consensus_fault::skip_learner_catch_up));
+    CHECK(blocks_on_absent_replacement(consensus_fault::skip_learner_catch_up));
 }
--- a/libs/consensus/test/random_cluster_test.cpp
+++ b/libs/consensus/test/random_cluster_test.cpp
@@ -30,4 +30,3 @@
         REQUIRE_FALSE(failure);
     }
 }
-
--- a/libs/core/include/dandelioncrank/core/wire.hpp
+++ b/libs/core/include/dandelioncrank/core/wire.hpp
@@ -130,7 +130,7 @@
         } else if constexpr (detail::is_variant<T>::value) {
             stream_.startArray(2);
             write(static_cast<std::uint64_t>(value.index()));
-            std::visit([this](const auto& item) { write(item); }, value);
+            std::visit([this](const auto& item) { this->write(item); }, value);
             stream_.endArray();
         } else {
             stream_.startArray();
--- a/libs/routing/include/dandelioncrank/routing/run_time_model.hpp
+++ b/libs/routing/include/dandelioncrank/routing/run_time_model.hpp
@@ -17,8 +17,9 @@
 /// Learns run times per route and tells short work from long work.
 ///
 /// Callers' own declarations are not used: they are far off too often.
-/// A route is long while its mean run time is several times the middle run
-/// time of the whole service.
+/// A route is long while its middle run time is several times that of the
+/// whole service. The mean would not do: one long run in a route that mixes
+/// both would make all its short work long.
 class run_time_model
 {
   public:
@@ -34,11 +35,10 @@
     struct route_average
     {
         double mean_ = 0;
+        double middle_ = 0;
         std::size_t samples_ = 0;
     };
 
-    void update_middle(double value);
-
     // Routes beyond this number share one entry.
     static constexpr std::size_t max_routes = 512;
 
--- a/libs/routing/include/dandelioncrank/routing/service_dispatcher.hpp
+++ b/libs/routing/include/dandelioncrank/routing/service_dispatcher.hpp
@@ -107,6 +107,8 @@
     void forget_if_gone(const endpoint_name& name);
     void refuse_expired(instant now, actions& out);
     void note_overdue(instant now);
+    [[nodiscard]] double slowness_of(const std::string& route,
+                                     duration run_time) const;
     void check_invariants() const;
 
     fair_queue& queue(work_class which);
@@ -123,6 +125,8 @@
     retry_budget retries_;
     instant hold_until_{};
     int long_in_flight_ = 0;
+    /// Mean logarithm of run times over expected ones.
+    double pool_slowness_ = 0;
     /// Share of the slots that short work has taken lately.
     double short_load_ = 0;
     instant load_measured_at_{};
--- a/libs/routing/src/endpoint_health.cpp
+++ b/libs/routing/src/endpoint_health.cpp
@@ -12,7 +12,10 @@
 constexpr int min_uses = 10;
 constexpr double eject_failure_rate = 0.5;
 constexpr double smoothing = 0.2;
-constexpr double slow_factor = 4.0;
+constexpr double slowness_smoothing = 0.1;
+constexpr int min_slowness_samples = 5;
+// Six times as slow as the pool.
+constexpr double slow_distance = 1.79;
 constexpr duration first_ejection = 2s;
 constexpr duration longest_ejection = 60s;
 // Clean uses after which earlier ejections are forgotten.
@@ -30,8 +33,8 @@
     allowed_ = std::clamp(allowed_, 1, std::max(1, slots_));
 }
 
-duration endpoint_health::record(slot_outcome outcome, duration run_time,
-                                 duration expected, bool may_punish,
+duration endpoint_health::record(slot_outcome outcome, double slowness,
+                                 double pool_slowness, bool may_punish,
                                  instant now)
 {
     if (outcome == slot_outcome::unused)
@@ -47,29 +50,38 @@
         return eject_now ? eject(now) : duration::zero();
     }
     failures_in_row_ = 0;
-    if (expected > duration::zero()) {
-        double ratio = static_cast<double>(run_time.count()) /
-                       static_cast<double>(expected.count());
-        slowness_ += smoothing * (std::min(ratio, 50.0) - slowness_);
-    }
-    if (slowness_ > slow_factor && may_punish) {
+    take_slowness(slowness);
+    if (is_slow(pool_slowness) && may_punish) {
         allowed_ = 1;
         return duration::zero();
     }
-    if (slowness_ <= slow_factor && allowed_ < slots_)
+    if (!is_slow(pool_slowness) && allowed_ < slots_)
         ++allowed_;
     if (allowed_ >= slots_ && failure_rate_ < 0.05)
         ejections_ = 0;
     return duration::zero();
 }
 
-void endpoint_health::record_overdue(double times_expected, bool may_punish)
+void endpoint_health::record_overdue(double slowness, double pool_slowness,
+                                     bool may_punish)
 {
-    slowness_ += smoothing * (std::min(times_expected, 50.0) - slowness_);
-    if (slowness_ > slow_factor && may_punish)
+    take_slowness(slowness);
+    if (is_slow(pool_slowness) && may_punish)
         allowed_ = 1;
 }
 
+void endpoint_health::take_slowness(double slowness)
+{
+    ++slowness_samples_;
+    slowness_ += slowness_smoothing * (slowness - slowness_);
+}
+
+bool endpoint_health::is_slow(double pool_slowness) const
+{
+    return slowness_samples_ >= min_slowness_samples &&
+           slowness_ - pool_slowness > slow_distance;
+}
+
 void endpoint_health::punish_failure(bool may_punish)
 {
     ++failures_in_row_;
--- a/libs/routing/src/run_time_model.cpp
+++ b/libs/routing/src/run_time_model.cpp
@@ -19,6 +19,17 @@
     mean += weight * (value - mean);
 }
 
+// Moves by a fixed share of itself, so the estimate settles at the median.
+void move_middle(double& middle, double value)
+{
+    if (middle == 0)
+        middle = value;
+    else if (value > middle)
+        middle *= 1 + middle_step;
+    else if (value < middle)
+        middle *= 1 - middle_step;
+}
+
 duration to_duration(double microseconds)
 {
     return duration(static_cast<duration::rep>(microseconds));
@@ -31,33 +42,23 @@
     auto value =
         static_cast<double>(std::max<duration::rep>(1, run_time.count()));
     ++samples_;
-    update_middle(value);
+    move_middle(middle_, value);
     std::string key = routes_.size() < max_routes || routes_.contains(route)
                           ? route
                           : std::string();
     route_average& entry = routes_[key];
     move_mean(entry.mean_, entry.samples_, value);
+    move_middle(entry.middle_, value);
     auto which = static_cast<std::size_t>(classify(key));
     move_mean(class_mean_[which], class_samples_[which], value);
 }
 
-// Moves by a fixed share of itself, so the estimate settles at the median.
-void run_time_model::update_middle(double value)
-{
-    if (middle_ == 0)
-        middle_ = value;
-    else if (value > middle_)
-        middle_ *= 1 + middle_step;
-    else if (value < middle_)
-        middle_ *= 1 - middle_step;
-}
-
 work_class run_time_model::classify(const std::string& route) const
 {
     auto found = routes_.find(route);
     bool is_known =
         found != routes_.end() && found->second.samples_ >= min_route_samples;
-    if (!is_known || found->second.mean_ < long_factor * middle_)
+    if (!is_known || found->second.middle_ < long_factor * middle_)
         return work_class::short_work;
     return work_class::long_work;
 }
--- a/libs/routing/src/service_dispatcher.cpp
+++ b/libs/routing/src/service_dispatcher.cpp
@@ -17,7 +17,7 @@
 constexpr double least_short_share = 0.1;
 constexpr double most_short_share = 0.6;
 // Slots kept for short work, relative to what it has used lately.
-constexpr double short_headroom = 1.3;
+constexpr double short_headroom = 1.15;
 constexpr double load_smoothing_per_second = 0.5;
 // Share of slots that long work may always use.
 constexpr double least_long_share = 0.25;
@@ -25,6 +25,7 @@
 constexpr double admission_margin = 0.8;
 constexpr double overdue_factor = 8.0;
 constexpr duration least_overdue = 50ms;
+constexpr double pool_smoothing = 0.01;
 constexpr duration lost_host_grace = 5s;
 constexpr duration shortest_retry_after = 100ms;
 constexpr std::size_t max_set_aside = 8;
@@ -89,7 +90,7 @@
         return total;
     double kept = std::clamp(short_load_ * short_headroom, least_short_share,
                              most_short_share);
-    int limit = total - static_cast<int>(std::ceil(total * kept));
+    int limit = total - static_cast<int>(std::lround(total * kept));
     return std::max(1, limit);
 }
 
@@ -299,10 +300,12 @@
     if (holder != endpoints_.end()) {
         endpoint_state& item = holder->second;
         --item.in_flight_;
-        duration expected = model_.has_samples() ? model_.expected(use.route_)
-                                                 : duration::zero();
-        duration ejected = item.health_.record(
-            outcome, run_time, expected, may_punish(use.endpoint_, now), now);
+        double slowness = slowness_of(use.route_, run_time);
+        if (outcome == slot_outcome::succeeded)
+            pool_slowness_ += pool_smoothing * (slowness - pool_slowness_);
+        duration ejected =
+            item.health_.record(outcome, slowness, pool_slowness_,
+                                may_punish(use.endpoint_, now), now);
         if (ejected > duration::zero())
             out.push_back(endpoint_ejected{use.endpoint_, ejected});
         forget_if_gone(use.endpoint_);
@@ -390,6 +393,16 @@
     }
 }
 
+double service_dispatcher::slowness_of(const std::string& route,
+                                       duration run_time) const
+{
+    if (!model_.has_samples())
+        return 0;
+    double expected = seconds(model_.expected(route));
+    return std::log(std::max(1e-6, seconds(run_time)) /
+                    std::max(1e-6, expected));
+}
+
 void service_dispatcher::note_overdue(instant now)
 {
     if (!model_.has_samples())
@@ -403,8 +416,8 @@
         if (use.overdue_counted_ || age < limit || holder == endpoints_.end())
             continue;
         use.overdue_counted_ = true;
-        double ratio = seconds(age) / std::max(1e-6, seconds(expected));
-        holder->second.health_.record_overdue(ratio,
+        holder->second.health_.record_overdue(slowness_of(use.route_, age),
+                                              pool_slowness_,
                                               may_punish(use.endpoint_, now));
     }
 }
--- a/libs/scheduling/include/dandelioncrank/scheduling/placement.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/placement.hpp
@@ -26,15 +26,15 @@
 };
 
 /// Finds free accelerators for one gang without preempting anything.
-/// Pinned work gets only what no guarantee needs. Racks listed as closed
-/// are not used. Looks at a bounded number of candidates.
+/// Pinned work gets only what no guarantee needs. Workers listed as
+/// closed are not used. Looks at a bounded number of candidates.
 class placer
 {
   public:
     placer(const worker_pool& pool, placement_policy policy);
 
-    /// Racks kept free for another gang.
-    void close_racks(std::set<rack_index> racks) { closed_ = std::move(racks); }
+    /// Workers kept free for another gang.
+    void close(std::set<worker_index> workers) { closed_ = std::move(workers); }
     /// Workers that this gang should not go to again.
     void avoid(std::set<worker_index> workers)
     {
@@ -62,7 +62,7 @@
 
     const worker_pool& pool_;
     placement_policy policy_;
-    std::set<rack_index> closed_;
+    std::set<worker_index> closed_;
     std::set<worker_index> avoided_;
 };
 
--- a/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
@@ -20,6 +20,7 @@
 struct gang_part;
 enum class stop_cause;
 class gang_driver;
+class preemption_index;
 class worker_evidence;
 
 struct scheduler_options
@@ -204,10 +205,19 @@
                       action_list& out);
     bool preempt_for(const std::map<worker_index, int>& needs, instant now,
                      action_list& out);
+    void update_reservations(instant now);
+    [[nodiscard]] std::set<worker_index>
+    choose_reservation(const job_spec& spec,
+                       const std::set<worker_index>& taken) const;
     void rescue_starving(instant now, action_list& out);
     bool rescue(job_entry& job, instant now, action_list& out);
+    [[nodiscard]] bool may_move(const gang& item, instant now) const;
     void swap_for_shorter(instant now, action_list& out);
-    bool swap_for(job_entry& job, instant now, action_list& out);
+    /// Longest has the running gangs with most to run, longest first.
+    bool swap_for(job_entry& job,
+                  const std::vector<std::pair<duration, gang_key>>& longest,
+                  instant now, action_list& out);
+    void index_running(const gang& item);
     bool preempt_until_fits(job_entry& job,
                             const std::vector<const gang*>& candidates,
                             instant now, action_list& out);
@@ -221,6 +231,7 @@
     job_queue queue_;
     std::unique_ptr<gang_driver> driver_;
     std::unique_ptr<worker_evidence> evidence_;
+    std::unique_ptr<preemption_index> preemptable_;
     std::map<gang_key, gang> gangs_;
     /// Gangs that are neither running quietly nor gone.
     std::set<gang_key> unsettled_;
@@ -238,6 +249,9 @@
     instant last_rescue_{};
     instant last_swap_{};
     instant last_unfit_check_{};
+    /// Workers kept free of new work for a gang that has waited long.
+    std::map<job_id, std::set<worker_index>> reservations_;
+    instant last_reservation_{};
     /// Times at which jobs that wait after a failure may be tried again.
     std::multiset<instant> wake_ups_;
 };
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -27,8 +27,7 @@
                            tenure terms) const
 {
     const pool_worker& worker = pool_.at(index);
-    if (!worker.usable() || closed_.contains(worker.rack_) ||
-        avoided_.contains(index))
+    if (!worker.usable() || closed_.contains(index) || avoided_.contains(index))
         return 0;
     int accelerators = worker.free();
     if (terms == tenure::pinned)
--- a/libs/scheduling/src/zone_scheduler.cpp
+++ b/libs/scheduling/src/zone_scheduler.cpp
@@ -3,6 +3,7 @@
 #include "dandelioncrank/core/invariant.hpp"
 #include "dandelioncrank/core/overloaded.hpp"
 #include "gang_driver.hpp"
+#include "preemption_index.hpp"
 #include "reclaim_planner.hpp"
 #include "worker_evidence.hpp"
 
@@ -57,6 +58,7 @@
     : options_(std::move(options)), ledger_(pool_), queue_(options_.order_),
       driver_(std::make_unique<gang_driver>(pool_, options_.epoch_)),
       evidence_(std::make_unique<worker_evidence>()),
+      preemptable_(std::make_unique<preemption_index>()),
       recovery_pending_(options_.wait_for_reports_)
 {
 }
@@ -433,11 +435,10 @@
         if (known.contains(part.gang_))
             continue;
         int amount = part.tasks_ * part.accelerators_;
-        pool_.change(index, [amount](pool_worker& item) {
-            item.orphaned_ += amount;
-        });
-        known[part.gang_] = {
-            amount, driver_->stop_orphan(index, part.gang_, out)};
+        pool_.change(index,
+                     [amount](pool_worker& item) { item.orphaned_ += amount; });
+        known[part.gang_] = {amount,
+                             driver_->stop_orphan(index, part.gang_, out)};
     }
 }
 
@@ -506,11 +507,11 @@
     if (found == orphans_.end() || report.epoch_ != options_.epoch_)
         return;
     std::erase_if(found->second, [&](const auto& entry) {
-        const auto& [gang, item] = entry;
-        bool listed = std::any_of(report.parts_.begin(), report.parts_.end(),
-                                  [&gang](const reported_part& part) {
-                                      return part.gang_ == gang;
-                                  });
+        const gang_key& gang = entry.first;
+        const orphan& item = entry.second;
+        bool listed = std::any_of(
+            report.parts_.begin(), report.parts_.end(),
+            [&gang](const reported_part& part) { return part.gang_ == gang; });
         if (listed || report.applied_command_ < item.command_)
             return false;
         pool_.change(index, [&item](pool_worker& worker) {
@@ -613,6 +614,7 @@
             continue;
         }
         set_state(job, job_state::running, {}, out);
+        index_running(item);
         update_gang(item, now, out);
     }
     // A job whose gang nobody reports any more has lost it.
@@ -677,6 +679,7 @@
 {
     const job_spec& spec = job.record_.spec_;
     queue_.erase(spec.id_, spec.team_);
+    reservations_.erase(spec.id_);
     gang_key key{spec.id_, ++job.record_.attempt_};
     while (gangs_.contains(key))
         key.attempt_ = ++job.record_.attempt_;
@@ -722,6 +725,8 @@
     if (item.phase_ == gang_phase::running) {
         if (is_current && before != gang_phase::running)
             set_state(found->second, job_state::running, {}, out);
+        if (before != gang_phase::running)
+            index_running(item);
         unsettled_.erase(item.key_);
         if (all_finished(item))
             stop_gang(item, stop_cause::finished, now, out);
@@ -746,6 +751,7 @@
         job.attained_ += now - item.running_since_;
     bool checkpoint = cause == stop_cause::preempted && item.spec_.checkpoints_;
     driver_->stop(item, cause, checkpoint, now, out);
+    preemptable_->erase(item.key_);
     unsettled_.insert(item.key_);
     // All tasks have reported their end: the job is done whatever becomes
     // of the workers while they clean up.
@@ -794,6 +800,21 @@
     auto found = jobs_.find(item.key_.job_);
     if (found != jobs_.end())
         found->second.record_.guaranteed_ = false;
+    if (item.phase_ == gang_phase::running)
+        index_running(item);
+}
+
+// Gangs that could be moved to make room for others.
+void zone_scheduler::index_running(const gang& item)
+{
+    bool movable = item.terms_ == tenure::borrowed && item.spec_.checkpoints_ &&
+                   item.spec_.total_accelerators() > 0;
+    auto found = jobs_.find(item.key_.job_);
+    if (!movable || found == jobs_.end())
+        return;
+    duration declared = expected_remaining(item.spec_, duration::zero());
+    preemptable_->insert(item.key_, item.running_since_,
+                         found->second.attained_, declared);
 }
 
 void zone_scheduler::finish_gang(gang& item, instant now, action_list& out)
@@ -921,6 +942,7 @@
 {
     job_id id = job.record_.spec_.id_;
     queue_.erase(id, job.record_.spec_.team_);
+    reservations_.erase(id);
     evidence_->forget_job(id);
     set_state(job, state, reason, out);
     jobs_.erase(id);
--- a/libs/scheduling/src/zone_scheduler_pass.cpp
+++ b/libs/scheduling/src/zone_scheduler_pass.cpp
@@ -2,6 +2,7 @@
 #include "dandelioncrank/scheduling/zone_scheduler.hpp"
 
 #include "gang_driver.hpp"
+#include "preemption_index.hpp"
 #include "reclaim_planner.hpp"
 #include "worker_evidence.hpp"
 
@@ -24,9 +25,18 @@
 // A gang that waits this long gets room even where not enough is free.
 constexpr duration starving_after = 10min;
 constexpr duration rescue_interval = 1s;
-constexpr int max_rescues = 4;
+constexpr int max_rescues = 8;
+constexpr int max_looked_at = 256;
 constexpr duration swap_interval = 1s;
 constexpr int max_swaps = 8;
+// Running gangs that are looked at as places for shorter jobs.
+constexpr std::size_t max_swap_candidates = 256;
+// Running gangs that may be moved for a starving one.
+constexpr std::size_t max_rescue_candidates = 1024;
+// A gang that has waited this long gets workers kept free for it.
+constexpr duration reserve_after = 20s;
+constexpr duration reservation_interval = 1s;
+constexpr std::size_t max_reservations = 4;
 // A gang is left alone for this long after it has started to run.
 constexpr duration shortest_run = 30s;
 // How much longer a running job must be expected to need than the waiting
@@ -119,7 +129,12 @@
 
 void zone_scheduler::pass_borrowed(instant now, action_list& out)
 {
-    placer places(pool_, options_.placement_);
+    update_reservations(now);
+    placer open_to_all(pool_, options_.placement_);
+    std::set<worker_index> reserved;
+    for (const auto& entry : reservations_)
+        reserved.insert(entry.second.begin(), entry.second.end());
+    open_to_all.close(reserved);
     std::set<demand_key> failed;
     int failures = 0;
     // Starting a gang changes the queue, hence the copy of the next key.
@@ -132,10 +147,21 @@
         job_entry& job = jobs_.at(it->second);
         if (job.not_before_ > now)
             continue;
+        auto own = reservations_.find(it->second);
+        if (own != reservations_.end()) {
+            // Everything but what is kept for other gangs.
+            std::set<worker_index> others = reserved;
+            for (worker_index index : own->second)
+                others.erase(index);
+            placer places(pool_, options_.placement_);
+            places.close(std::move(others));
+            failures += !try_borrowed(job, places, now, out);
+            continue;
+        }
         demand_key demand = demand_of(job.record_.spec_);
         if (failed.contains(demand))
             continue;
-        if (try_borrowed(job, places, now, out))
+        if (try_borrowed(job, open_to_all, now, out))
             continue;
         failed.insert(demand);
         ++failures;
@@ -164,6 +190,78 @@
 
 // --- Starving gangs
 
+// Gangs at the head of the order that cannot be placed get workers of their
+// own to wait for: whatever starts later, and however wrong its declared
+// time, cannot delay them. Only a share of the pool is kept so.
+void zone_scheduler::update_reservations(instant now)
+{
+    if (!options_.preempt_ || now - last_reservation_ < reservation_interval)
+        return;
+    last_reservation_ = now;
+    std::set<worker_index> taken;
+    for (const auto& entry : reservations_)
+        taken.insert(entry.second.begin(), entry.second.end());
+    std::size_t looked_at = 0;
+    for (const auto& [place, id] : queue_.in_order()) {
+        if (++looked_at > max_reservations * 2 ||
+            reservations_.size() >= max_reservations)
+            break;
+        const job_entry& job = jobs_.at(id);
+        const job_spec& spec = job.record_.spec_;
+        bool due = now - job.queued_at_ >= reserve_after && spec.tasks_ > 1 &&
+                   !reservations_.contains(id) && fits_pool(spec);
+        if (!due)
+            continue;
+        std::set<worker_index> chosen = choose_reservation(spec, taken);
+        bool too_many = (taken.size() + chosen.size()) * 4 > pool_.size();
+        if (chosen.empty() || too_many)
+            continue;
+        taken.insert(chosen.begin(), chosen.end());
+        reservations_[id] = std::move(chosen);
+    }
+}
+
+// The worker, rack or racks that have most free now.
+std::set<worker_index>
+zone_scheduler::choose_reservation(const job_spec& spec,
+                                   const std::set<worker_index>& taken) const
+{
+    std::set<worker_index> chosen;
+    if (spec.accelerators_ == 0)
+        return chosen;
+    int tasks_left = spec.tasks_;
+    const auto& by_free = pool_.workers_by_free();
+    const auto& racks = pool_.racks_by_free();
+    auto tasks_on = [&](worker_index index) {
+        const pool_worker& worker = pool_.at(index);
+        bool usable = worker.usable() && !taken.contains(index);
+        return usable ? worker.info_.accelerators_ / spec.accelerators_ : 0;
+    };
+    bool one_worker = spec.within_ == adjacency::worker;
+    for (auto it = by_free.rbegin(); one_worker && it != by_free.rend(); ++it) {
+        for (worker_index index : *it) {
+            if (tasks_on(index) >= spec.tasks_)
+                return {index};
+        }
+    }
+    for (auto it = racks.rbegin(); !one_worker && it != racks.rend(); ++it) {
+        std::set<worker_index> in_rack;
+        int room = 0;
+        for (worker_index index : pool_.rack(it->second).workers_) {
+            if (tasks_on(index) > 0)
+                in_rack.insert(index);
+            room += tasks_on(index);
+        }
+        if (spec.within_ == adjacency::rack && room < spec.tasks_)
+            continue;
+        chosen.insert(in_rack.begin(), in_rack.end());
+        tasks_left -= room;
+        if (tasks_left <= 0)
+            return chosen;
+    }
+    return {};
+}
+
 void zone_scheduler::rescue_starving(instant now, action_list& out)
 {
     if (now - last_rescue_ < rescue_interval)
@@ -173,7 +271,7 @@
     int looked_at = 0;
     std::vector<job_id> starving;
     for (const auto& [place, id] : queue_.in_order()) {
-        if (++looked_at > max_failed_tries || rescues >= max_rescues)
+        if (++looked_at > max_looked_at || rescues >= max_rescues)
             break;
         const job_entry& job = jobs_.at(id);
         duration waited = now - job.queued_at_;
@@ -190,20 +288,25 @@
         rescue(jobs_.at(id), now, out);
 }
 
-// Makes room by moving borrowed gangs that can save their progress.
+bool zone_scheduler::may_move(const gang& item, instant now) const
+{
+    return reclaim_planner::may_preempt(item) &&
+           item.phase_ == gang_phase::running && item.spec_.checkpoints_ &&
+           now - item.running_since_ >= shortest_run;
+}
+
+// Makes room by moving smaller borrowed gangs that can save their progress.
 bool zone_scheduler::rescue(job_entry& job, instant now, action_list& out)
 {
     std::vector<const gang*> movable;
-    for (const auto& [key, item] : gangs_) {
-        bool suits = reclaim_planner::may_preempt(item) &&
-                     item.phase_ == gang_phase::running &&
-                     item.spec_.checkpoints_ &&
-                     item.spec_.total_accelerators() > 0 &&
-                     now - item.running_since_ >= shortest_run &&
-                     item.spec_.total_accelerators() <
-                         job.record_.spec_.total_accelerators();
+    int size = job.record_.spec_.total_accelerators();
+    for (const auto& [rest, key] :
+         preemptable_->longest(now, max_rescue_candidates)) {
+        auto found = gangs_.find(key);
+        bool suits = found != gangs_.end() && may_move(found->second, now) &&
+                     found->second.spec_.total_accelerators() < size;
         if (suits)
-            movable.push_back(&item);
+            movable.push_back(&found->second);
     }
     std::sort(movable.begin(), movable.end(), [](const gang* a, const gang* b) {
         return std::pair(a->spec_.total_accelerators(), a->key_) <
@@ -226,41 +329,30 @@
             break;
         waiting.push_back(id);
     }
+    auto longest = preemptable_->longest(now, max_swap_candidates);
     for (const job_id& id : waiting) {
         auto found = jobs_.find(id);
         if (found != jobs_.end())
-            swap_for(found->second, now, out);
+            swap_for(found->second, longest, now, out);
     }
 }
 
-bool zone_scheduler::swap_for(job_entry& job, instant now, action_list& out)
+bool zone_scheduler::swap_for(
+    job_entry& job, const std::vector<std::pair<duration, gang_key>>& longest,
+    instant now, action_list& out)
 {
     const job_spec& spec = job.record_.spec_;
     if (spec.total_accelerators() == 0)
         return false;
     duration own = expected_remaining(spec, job.attained_);
-    std::vector<std::pair<duration, const gang*>> longer;
-    for (const auto& [key, item] : gangs_) {
-        bool suits = reclaim_planner::may_preempt(item) &&
-                     item.phase_ == gang_phase::running &&
-                     item.spec_.checkpoints_ &&
-                     item.spec_.total_accelerators() > 0 &&
-                     now - item.running_since_ >= shortest_run;
-        if (!suits)
-            continue;
-        duration attained =
-            jobs_.at(key.job_).attained_ + (now - item.running_since_);
-        duration rest = expected_remaining(item.spec_, attained);
-        if (rest >= own * swap_factor)
-            longer.emplace_back(rest, &item);
-    }
-    std::sort(longer.begin(), longer.end(), [](const auto& a, const auto& b) {
-        return std::pair(b.first, a.second->key_) <
-               std::pair(a.first, b.second->key_);
-    });
     std::vector<const gang*> candidates;
-    for (const auto& item : longer)
-        candidates.push_back(item.second);
+    for (const auto& [rest, key] : longest) {
+        if (rest < own * swap_factor)
+            break;
+        auto found = gangs_.find(key);
+        if (found != gangs_.end() && may_move(found->second, now))
+            candidates.push_back(&found->second);
+    }
     return preempt_until_fits(job, candidates, now, out);
 }
 
