--- a/libs/http/include/dandelioncrank/http/http_server.hpp
+++ b/libs/http/include/dandelioncrank/http/http_server.hpp
@@ -46,8 +46,7 @@
     }
     [[nodiscard]] std::size_t requests_in_flight() const;
 
-    /// Takes no new connection and ends each open one after the answer to
-    /// the request that it has in flight.
+    /// Takes no new connection and ends each open one after its next answer.
     void stop_accepting();
 
     /// Decorates answers to requests that could not be read.
--- a/libs/http/include/dandelioncrank/http/server_connection.hpp
+++ b/libs/http/include/dandelioncrank/http/server_connection.hpp
@@ -26,7 +26,8 @@
     /// Answers the request in flight. Call once for each request.
     void respond(http_response response);
 
-    /// Ends the connection once the request in flight is answered.
+    /// Ends the connection after the answer to the request in flight, or to
+    /// the next one if there is none.
     void close_after_answer();
 
     [[nodiscard]] bool is_busy() const { return phase_ == phase::busy; }
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -135,10 +135,6 @@
 {
     if (phase_ != phase::idle)
         return;
-    if (close_wanted_) {
-        linger();
-        return;
-    }
     parser_ = message_parser(message_parser::kind::request, limits_);
     continue_sent_ = false;
     socket_.set_reading(true);
@@ -188,11 +184,11 @@
         finish();
 }
 
+// An idle connection stays open for one more request: closing it could cross
+// with a request on its way, whose caller would then not know its fate.
 void server_connection::close_after_answer()
 {
     close_wanted_ = true;
-    if (phase_ == phase::idle)
-        linger();
 }
 
 void server_connection::finish()
--- a/libs/node/src/daemon_node.cpp
+++ b/libs/node/src/daemon_node.cpp
@@ -35,6 +35,9 @@
 constexpr duration settle_limit = 60s;
 // Time in which the others hear that this host is leaving.
 constexpr auto leave_time = 600ms;
+// Time in which callers' open connections are told, by a refusal of their
+// next request, that this host is stopping.
+constexpr duration tell_time = 2s;
 
 std::uint64_t make_incarnation()
 {
@@ -132,6 +135,7 @@
     instant started_at_;
     bool serving_ = false;
     bool stopping_ = false;
+    instant stop_began_at_{};
     bool pulling_ = false;
     std::function<void()> on_stopped_;
 };
@@ -587,6 +591,7 @@
         return;
     log_.info("Stops as planned.");
     stopping_ = true;
+    stop_began_at_ = steady_now();
     on_stopped_ = std::move(on_done);
     zone_.stop();
     if (voter_)
@@ -605,7 +610,10 @@
 void daemon_node::implementation::wait_for_requests(instant give_up)
 {
     std::size_t open = gateway_ ? gateway_->in_flight() : 0;
-    if (open > 0 && steady_now() < give_up) {
+    instant now = steady_now();
+    // Callers with open connections get a while to be told.
+    bool told = !gateway_ || now >= stop_began_at_ + tell_time;
+    if ((open > 0 || !told) && now < give_up) {
         QTimer::singleShot(20ms, &inbox_,
                            [this, give_up] { wait_for_requests(give_up); });
         return;
--- a/tools/caller_load.cpp
+++ b/tools/caller_load.cpp
@@ -163,8 +163,9 @@
         --open_;
         double latency =
             to_milliseconds(steady_now() - started_at_ - plan_[index].due_);
-        std::string fate = "no-answer";
-        std::string owner;
+        // Bytes left and no answer came, unless nothing was sent at all.
+        bool sent = !std::holds_alternative<request_not_sent>(outcome);
+        std::string fate = sent ? "cut" : "unreachable";
         if (const auto* answered = std::get_if<request_answered>(&outcome)) {
             const http_response& response = answered->response_;
             fate = response.headers_.value_or("X-Fate", "no-fate");
