scheduling: deliberate faults, each caught; calm runs in which no hold may be refused

Cause: nothing showed that the scheduling runs would notice a broken mechanism. Change: seven faults by a test-only option; every fourth random run is calm, and there a refused hold counts as a double booking; the cap on quarantine is checked over each run.

--- a/libs/routing/test/fake_fleet.hpp
+++ b/libs/routing/test/fake_fleet.hpp
@@ -336,8 +336,7 @@
         slot_returned done{
             granted.id_, fails ? slot_outcome::failed : slot_outcome::succeeded,
             length};
-        at(now_ + back + host_trip(granted.id_),
-           [this, done] { feed(done); });
+        at(now_ + back + host_trip(granted.id_), [this, done] { feed(done); });
         at(now_ + back, [this, tried, granted, fails] {
             if (records_[tried.record_].done_)
                 return;
--- a/libs/scheduling/include/dandelioncrank/scheduling/placement.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/placement.hpp
@@ -41,6 +41,9 @@
         avoided_ = std::move(workers);
     }
 
+    /// Deliberate fault, for tests.
+    void ignore_guarantees() { ignores_guarantees_ = true; }
+
     [[nodiscard]] std::optional<placement_plan> find(const job_spec& job,
                                                      tenure terms) const;
 
@@ -64,6 +67,7 @@
     placement_policy policy_;
     std::set<worker_index> closed_;
     std::set<worker_index> avoided_;
+    bool ignores_guarantees_ = false;
 };
 
 } // namespace dandelioncrank
--- a/libs/scheduling/include/dandelioncrank/scheduling/scheduling_types.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/scheduling_types.hpp
@@ -177,6 +177,19 @@
     }
 };
 
+/// Deliberate faults for the tests that show that the runs catch them.
+enum class scheduling_fault
+{
+    none,
+    start_before_all_hold,
+    free_before_stop_confirmed,
+    pinned_work_ignores_guarantees,
+    job_forgotten_after_loss,
+    guarantees_stay_on_lost_workers,
+    gang_survives_lost_member,
+    unlimited_quarantine
+};
+
 struct job_submitted
 {
     job_spec spec_;
--- a/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
@@ -41,6 +41,7 @@
     /// Later jobs may start while an earlier one does not fit; off for the
     /// baseline, which then knows no guarantees either.
     bool backfill_ = true;
+    scheduling_fault fault_ = scheduling_fault::none;
 };
 
 /// One team as `team show` prints it; counts are accelerators.
--- a/libs/scheduling/src/gang_driver.cpp
+++ b/libs/scheduling/src/gang_driver.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-gang_driver::gang_driver(worker_pool& pool, std::uint64_t epoch)
-    : pool_(pool), epoch_(epoch)
+gang_driver::gang_driver(worker_pool& pool, std::uint64_t epoch,
+                         scheduling_fault fault)
+    : pool_(pool), epoch_(epoch), fault_(fault)
 {
 }
 
@@ -105,7 +106,10 @@
 
 void gang_driver::send_starts(gang& item, instant now, scheduling_actions& out)
 {
-    if (!all_in(item, {part_phase::held}))
+    bool ready = all_in(item, {part_phase::held});
+    if (fault_ == scheduling_fault::start_before_all_hold)
+        ready = item.parts_.front().phase_ == part_phase::held;
+    if (!ready)
         return;
     if (!item.start_allowed_) {
         if (!item.claim_asked_)
@@ -167,6 +171,8 @@
             continue;
         enter(item, part, part_phase::stop_sent, now);
         send(command_kind::stop, item, part, now, out);
+        if (fault_ == scheduling_fault::free_before_stop_confirmed)
+            enter(item, part, part_phase::gone, now);
     }
 }
 
--- a/libs/scheduling/src/gang_driver.hpp
+++ b/libs/scheduling/src/gang_driver.hpp
@@ -14,7 +14,7 @@
 class gang_driver
 {
   public:
-    gang_driver(worker_pool& pool, std::uint64_t epoch);
+    gang_driver(worker_pool& pool, std::uint64_t epoch, scheduling_fault fault);
 
     /// Sends what the gang's state calls for next.
     void advance(gang& item, instant now, scheduling_actions& out);
@@ -55,6 +55,7 @@
 
     worker_pool& pool_;
     std::uint64_t epoch_;
+    scheduling_fault fault_;
     std::map<worker_index, std::deque<worker_command>> outboxes_;
 };
 
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -30,7 +30,7 @@
     if (!worker.usable() || closed_.contains(index) || avoided_.contains(index))
         return 0;
     int accelerators = worker.free();
-    if (terms == tenure::pinned)
+    if (terms == tenure::pinned && !ignores_guarantees_)
         accelerators = std::min(accelerators, worker.unreserved());
     int fit = divide(std::max(0, accelerators), job.accelerators_);
     fit = std::min(fit, divide(worker.info_.processors_ - worker.processors_,
--- a/libs/scheduling/src/zone_scheduler.cpp
+++ b/libs/scheduling/src/zone_scheduler.cpp
@@ -56,7 +56,8 @@
 
 zone_scheduler::zone_scheduler(scheduler_options options)
     : options_(std::move(options)), ledger_(pool_), queue_(options_.order_),
-      driver_(std::make_unique<gang_driver>(pool_, options_.epoch_)),
+      driver_(std::make_unique<gang_driver>(pool_, options_.epoch_,
+                                            options_.fault_)),
       evidence_(std::make_unique<worker_evidence>()),
       preemptable_(std::make_unique<preemption_index>()),
       recovery_pending_(options_.wait_for_reports_)
@@ -354,6 +355,8 @@
 void zone_scheduler::withdraw_worker(worker_index index, instant now,
                                      action_list& out)
 {
+    if (options_.fault_ == scheduling_fault::guarantees_stay_on_lost_workers)
+        return;
     std::size_t short_before = ledger_.shortages().size();
     std::set<gang_key> here = pool_.at(index).gangs_;
     for (const gang_key& key : here)
@@ -553,6 +556,8 @@
     std::size_t most = pool_.size() * quarantine_cap_percent / 100;
     if (pool_.size() >= least_pool_for_quarantine)
         most = std::max<std::size_t>(most, 1);
+    if (options_.fault_ == scheduling_fault::unlimited_quarantine)
+        most = pool_.size();
     if (pool_.quarantined() >= most) {
         out.push_back(alarm_raised{"Worker '" + worker.info_.name_.str() +
                                    "' fails everything, but the cap on "
@@ -746,6 +751,9 @@
 {
     if (item.phase_ == gang_phase::stopping || recovering_until_)
         return;
+    if (options_.fault_ == scheduling_fault::gang_survives_lost_member &&
+        cause == stop_cause::member_lost)
+        return;
     job_entry& job = jobs_.at(item.key_.job_);
     if (item.phase_ == gang_phase::running)
         job.attained_ += now - item.running_since_;
@@ -860,6 +868,9 @@
         job.not_before_ = now + refused_hold_wait;
         wake_ups_.insert(job.not_before_);
     }
+    if (options_.fault_ == scheduling_fault::job_forgotten_after_loss &&
+        item.cause_ == stop_cause::member_lost)
+        return;
     if (may_repeat)
         requeue(job, now, out);
     else
--- a/libs/scheduling/src/zone_scheduler_pass.cpp
+++ b/libs/scheduling/src/zone_scheduler_pass.cpp
@@ -124,12 +124,12 @@
     auto victims = reclaim_planner(pool_, gangs_).victims_for(needs, now);
     if (!victims)
         return false;
-    bool loses_work = std::any_of(
-        victims->begin(), victims->end(), [this](const gang_key& key) {
-            return !gangs_.at(key).spec_.checkpoints_;
-        });
-    bool may_wait = !job.record_.spec_.urgent_ &&
-                    now - job.queued_at_ < reclaim_patience;
+    bool loses_work = std::any_of(victims->begin(), victims->end(),
+                                  [this](const gang_key& key) {
+                                      return !gangs_.at(key).spec_.checkpoints_;
+                                  });
+    bool may_wait =
+        !job.record_.spec_.urgent_ && now - job.queued_at_ < reclaim_patience;
     if (loses_work && may_wait) {
         wake_ups_.insert(job.queued_at_ + reclaim_patience);
         return false;
@@ -152,6 +152,8 @@
     for (const auto& entry : reservations_)
         reserved.insert(entry.second.begin(), entry.second.end());
     open_to_all.close(reserved);
+    if (options_.fault_ == scheduling_fault::pinned_work_ignores_guarantees)
+        open_to_all.ignore_guarantees();
     std::set<demand_key> failed;
     int failures = 0;
     // Starting a gang changes the queue, hence the copy of the next key.
--- a/libs/scheduling/test/fake_pool.hpp
+++ b/libs/scheduling/test/fake_pool.hpp
@@ -165,6 +165,10 @@
     [[nodiscard]] instant now() const { return now_; }
     [[nodiscard]] std::size_t alarms() const { return alarms_; }
     [[nodiscard]] std::size_t refused_holds() const { return refused_holds_; }
+    [[nodiscard]] std::size_t most_quarantined() const
+    {
+        return most_quarantined_;
+    }
     [[nodiscard]] std::size_t events() const { return sequence_; }
     [[nodiscard]] std::size_t open() const { return open_; }
 
@@ -290,6 +294,8 @@
             send_commands(index);
         if (options_.check_always_)
             scheduler_->check_invariants();
+        most_quarantined_ =
+            std::max(most_quarantined_, scheduler_->pool().quarantined());
         if (on_event_)
             on_event_();
     }
@@ -526,6 +532,7 @@
     std::size_t open_ = 0;
     std::size_t alarms_ = 0;
     std::size_t refused_holds_ = 0;
+    std::size_t most_quarantined_ = 0;
     instant now_{std::chrono::hours(1)};
 };
 
--- a/libs/scheduling/test/random_pool_test.cpp
+++ b/libs/scheduling/test/random_pool_test.cpp
@@ -56,19 +56,23 @@
 /// A pool under load with crashes, cuts, losses of messages, cancellations,
 /// new guarantees and new schedulers. Invariants are checked inside the
 /// scheduler after every event, and against the workers' truth.
-void run_seed(std::uint64_t seed)
+void run_seed(std::uint64_t seed,
+              scheduling_fault fault = scheduling_fault::none)
 {
     std::mt19937_64 random(seed);
+    // Every fourth run is calm: then no worker may ever refuse a hold.
+    bool calm = seed % 4 == 0;
     pool_options options;
     options.seed_ = seed;
     options.racks_ = 1 + static_cast<int>(random() % 3);
     options.workers_per_rack_ = 2 + static_cast<int>(random() % 4);
     options.accelerators_ = 2 + static_cast<int>(random() % 7);
-    options.loss_percent_ = random() % 3 == 0 ? 10 : 0;
+    options.loss_percent_ = !calm && random() % 3 == 0 ? 10 : 0;
     options.delay_ = std::chrono::milliseconds(1 + random() % 50);
     scheduler_options scheduling;
     scheduling.zone_ = zone_name("z");
     scheduling.wait_for_reports_ = true;
+    scheduling.fault_ = fault;
     fake_pool pool(options, scheduling, random_rules(random, options));
 
     instant begin = pool.now();
@@ -83,7 +87,7 @@
             pool.cancel(job_id("j" + std::to_string(i)), moment());
     }
     int workers = options.racks_ * options.workers_per_rack_;
-    for (int i = 0; i < 4; ++i) {
+    for (int i = 0; i < 4 && !calm; ++i) {
         auto index = static_cast<int>(random() % workers);
         auto length = std::chrono::milliseconds(random() % 30'000);
         if (random() % 2 == 0)
@@ -91,7 +95,7 @@
         else
             pool.cut(index, moment(), length);
     }
-    if (random() % 2 == 0)
+    if (!calm && random() % 2 == 0)
         pool.replace_scheduler(moment());
     if (random() % 3 == 0)
         pool.configure(random_rules(random, options), moment());
@@ -102,6 +106,12 @@
     // Twice two hours: every job that fits has ended long before.
     pool.run_to_end(begin + 4h);
     pool.scheduler().check_invariants();
+    if (calm && pool.refused_holds() > 0)
+        throw std::logic_error("a worker was given more than it has");
+    // A tenth, or one of four or more.
+    std::size_t cap = workers >= 4 ? std::max(1, workers / 10) : 0;
+    if (pool.most_quarantined() > cap)
+        throw std::logic_error("too many workers were in quarantine");
 }
 
 } // namespace
@@ -122,3 +132,39 @@
         REQUIRE_NOTHROW(run_seed(seed));
     }
 }
+
+TEST_CASE("each deliberate fault is caught", "[scheduling_faults]")
+{
+    struct named_fault
+    {
+        scheduling_fault fault_;
+        const char* name_;
+    };
+    for (const named_fault& item : {
+             named_fault{scheduling_fault::start_before_all_hold,
+                         "start before all hold"},
+             named_fault{scheduling_fault::free_before_stop_confirmed,
+                         "accelerators free before the stop is confirmed"},
+             named_fault{scheduling_fault::pinned_work_ignores_guarantees,
+                         "pinned work ignores guarantees"},
+             named_fault{scheduling_fault::job_forgotten_after_loss,
+                         "job forgotten after a loss"},
+             named_fault{scheduling_fault::guarantees_stay_on_lost_workers,
+                         "guarantees stay on lost workers"},
+             named_fault{scheduling_fault::gang_survives_lost_member,
+                         "gang survives a lost member"},
+             named_fault{scheduling_fault::unlimited_quarantine,
+                         "quarantine without a cap"},
+         }) {
+        std::string failure;
+        for (std::uint64_t seed = 1; failure.empty() && seed <= 200; ++seed) {
+            try {
+                run_seed(seed, item.fault_);
+            } catch (const std::logic_error& error) {
+                failure = error.what();
+            }
+        }
+        INFO(item.name_);
+        CHECK_FALSE(failure.empty());
+    }
+}
