--- a/libs/consensus/include/dandelioncrank/consensus/consensus_core.hpp
+++ b/libs/consensus/include/dandelioncrank/consensus/consensus_core.hpp
@@ -128,7 +128,7 @@
                 const consensus_message& message, instant now);
     void handle(const election_request& request,
                 const consensus_message& message, instant now);
-    void append_entries(const append_request& request, instant now);
+    void append_entries(const append_request& request);
     void broadcast(instant now, bool with_heartbeat);
     void send_append(const voter_name& to, instant now);
     void send_snapshot(const voter_name& to, progress& peer, instant now);
--- a/libs/consensus/src/replication.cpp
+++ b/libs/consensus/src/replication.cpp
@@ -110,7 +110,7 @@
         send(message.from_, append_reply{false, retry, request.round_});
         return;
     }
-    append_entries(request, now);
+    append_entries(request);
     log_index known = request.previous_index_ + request.entries_.size();
     commit_to(std::min(request.commit_, known));
     log_index synced = std::max(known, log_->base().index_);
@@ -118,7 +118,7 @@
                                      request.round_});
 }
 
-void consensus_core::append_entries(const append_request& request, instant now)
+void consensus_core::append_entries(const append_request& request)
 {
     for (const log_entry& entry : request.entries_) {
         if (entry.index_ <= log_->base().index_)
@@ -142,7 +142,6 @@
         output_.entries_.push_back(entry);
         log_->append(entry);
     }
-    (void)now;
 }
 
 void consensus_core::handle(const append_reply& reply,
--- a/libs/node/src/zone_service.cpp
+++ b/libs/node/src/zone_service.cpp
@@ -280,9 +280,8 @@
     }
     writing_.insert(id);
     job_record record = found->second;
-    std::uint64_t epoch = epoch_;
-    state_.run(put_job{zone_, record, epoch, false}, write_limit,
-               [this, id, record, epoch](command_outcome outcome) {
+    state_.run(put_job{zone_, record, epoch_, false}, write_limit,
+               [this, id, record](command_outcome outcome) {
                    auto newest = dirty_records_.find(id);
                    bool same = newest != dirty_records_.end() &&
                                newest->second.state_ == record.state_ &&
@@ -293,7 +292,6 @@
                    auto delay = done ? 0ms : write_retry;
                    QTimer::singleShot(delay, this,
                                       [this, id] { write_record(id); });
-                   (void)epoch;
                });
 }
 
--- a/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
@@ -163,7 +163,7 @@
     void greet_worker(worker_index index, const worker_report& report,
                       instant now, action_list& out);
     void lose_worker(worker_index index, instant now, action_list& out);
-    void withdraw_worker(worker_index index, instant now, action_list& out);
+    void withdraw_worker(worker_index index, action_list& out);
     void take_parts(worker_index index, const worker_report& report,
                     instant now, action_list& out);
     void take_unknown_parts(worker_index index, const worker_report& report,
--- a/libs/scheduling/src/zone_scheduler_workers.cpp
+++ b/libs/scheduling/src/zone_scheduler_workers.cpp
@@ -68,7 +68,7 @@
         driver_->acknowledge(index, report.applied_command_);
     if (report.draining_ && !worker.draining_) {
         pool_.change(index, [](pool_worker& item) { item.draining_ = true; });
-        withdraw_worker(index, now, out);
+        withdraw_worker(index, out);
     } else if (!report.draining_ && worker.draining_) {
         pool_.change(index, [](pool_worker& item) { item.draining_ = false; });
     }
@@ -97,14 +97,13 @@
         stop_gang(item, stop_cause::member_lost, now, out);
         update_gang(item, now, out);
     }
-    withdraw_worker(index, now, out);
+    withdraw_worker(index, out);
     evidence_->forget_worker(pool_.at(index).info_.name_);
     pass_wanted_ = true;
 }
 
 // Guarantees move off a worker that cannot be relied on.
-void zone_scheduler::withdraw_worker(worker_index index, instant now,
-                                     action_list& out)
+void zone_scheduler::withdraw_worker(worker_index index, action_list& out)
 {
     if (options_.fault_ == scheduling_fault::guarantees_stay_on_lost_workers)
         return;
@@ -134,7 +133,6 @@
                          to_text(item.within_) + "."});
     }
     pass_wanted_ = true;
-    (void)now;
 }
 
 void zone_scheduler::take_parts(worker_index index, const worker_report& report,
@@ -318,7 +316,7 @@
     pool_.change(index, [](pool_worker& item) { item.quarantined_ = true; });
     quarantine_ends_[index] = now + quarantine_time;
     evidence_->forget_worker(worker.info_.name_);
-    withdraw_worker(index, now, out);
+    withdraw_worker(index, out);
     out.push_back(alarm_raised{"Worker '" + worker.info_.name_.str() +
                                "' is in quarantine: different jobs failed "
                                "on it in a row."});
