routing: a caller's short deadline is no evidence against an endpoint

Change: a timed-out request speaks against the endpoint only if it had four times the usual run time, or if nothing is known of the route yet. Figures: 60 requests cut off at the usual run time: no ejection and all 8 slots (test); an endpoint that hangs is ejected after at most 6 of 60.

--- a/libs/gateway/src/gateway_loop.cpp
+++ b/libs/gateway/src/gateway_loop.cpp
@@ -315,7 +315,9 @@
                               take_failure(*item, result.reason_, false);
                           },
                           [&](const request_broken& result) {
-                              return_slot(*item, slot_outcome::failed);
+                              return_slot(*item, result.timed_out_
+                                                     ? slot_outcome::timed_out
+                                                     : slot_outcome::failed);
                               item->timed_out_ = result.timed_out_;
                               take_failure(*item, result.reason_, true);
                           }},
--- a/libs/routing/include/dandelioncrank/routing/routing_events.hpp
+++ b/libs/routing/include/dandelioncrank/routing/routing_events.hpp
@@ -69,6 +69,9 @@
     succeeded,
     /// The endpoint answered with a server error or broke off.
     failed,
+    /// The caller's deadline passed first. It speaks against the endpoint
+    /// only if the request had far longer than it usually takes.
+    timed_out,
     /// The endpoint could not be reached; nothing was sent.
     unreachable,
     /// The endpoint said that it did not run the request.
--- a/libs/routing/src/service_dispatcher.cpp
+++ b/libs/routing/src/service_dispatcher.cpp
@@ -26,6 +26,8 @@
 constexpr double overdue_factor = 8.0;
 constexpr duration least_overdue = 50ms;
 constexpr double pool_smoothing = 0.01;
+// A request that has run four times as long as usual hangs.
+constexpr double hung_distance = 1.39;
 constexpr duration lost_host_grace = 5s;
 constexpr duration shortest_retry_after = 100ms;
 constexpr std::size_t max_set_aside = 8;
@@ -301,6 +303,11 @@
         endpoint_state& item = holder->second;
         --item.in_flight_;
         double slowness = slowness_of(use.route_, run_time);
+        if (outcome == slot_outcome::timed_out)
+            outcome = !model_.has_samples() ||
+                              slowness - pool_slowness_ >= hung_distance
+                          ? slot_outcome::failed
+                          : slot_outcome::unused;
         if (outcome == slot_outcome::succeeded)
             pool_slowness_ += pool_smoothing * (slowness - pool_slowness_);
         duration ejected =
--- a/libs/routing/test/dispatcher_test.cpp
+++ b/libs/routing/test/dispatcher_test.cpp
@@ -193,6 +193,32 @@
     CHECK(test.core_.summaries(test.now_)[0].slots_ >= 7);
 }
 
+TEST_CASE("callers in a hurry do not make endpoints look sick", "[dispatcher]")
+{
+    bench test;
+    for (int i = 0; i < 4; ++i)
+        test.announce("e" + std::to_string(i), 2);
+    for (int i = 0; i < 30; ++i)
+        test.end(test.submit("a"), slot_outcome::succeeded, 10ms);
+    // Deadlines as short as the usual run time.
+    for (int i = 0; i < 60; ++i)
+        test.end(test.submit("a"), slot_outcome::timed_out, 10ms);
+    CHECK(test.ejected_ == 0);
+    CHECK(test.core_.summaries(test.now_)[0].slots_ == 8);
+    // An endpoint that hangs is another matter.
+    int hung = 0;
+    for (int i = 0; i < 60; ++i) {
+        auto id = test.submit("a");
+        REQUIRE(test.granted_.contains(id));
+        bool bad = test.granted_.at(id) == "e0";
+        hung += bad;
+        test.end(id, bad ? slot_outcome::timed_out : slot_outcome::succeeded,
+                 bad ? 500ms : 10ms);
+    }
+    CHECK(test.ejected_ >= 1);
+    CHECK(hung <= 6);
+}
+
 TEST_CASE("retries stay within their budget", "[dispatcher]")
 {
     bench test;
