--- a/tools/endpoint_standin.cpp
+++ b/tools/endpoint_standin.cpp
@@ -10,6 +10,7 @@
 
 #include <absl/flags/flag.h>
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <iostream>
@@ -79,7 +80,7 @@
             {"zone", QString::fromStdString(absl::GetFlag(FLAGS_zone))},
             {"address", QString("127.0.0.1:%1").arg(server_.port())},
             {"slots", absl::GetFlag(FLAGS_slots)},
-            {"connections", 64},
+            {"connections", std::max(64, 2 * absl::GetFlag(FLAGS_slots))},
             {"state", leaving_ ? "leaving" : "serving"}};
         daemons_.post("/v1/endpoints/announce", body, announce_limit,
                       [](const std::optional<QJsonObject>&) {});
