pool: a step's limit on one worker counts tasks of the same pass; evictions bounded

Ruled out: a race of two batches, as one batch is under way at a time.

Change: the planner counts tasks placed in the same pass, and the state refuses a start beyond the limit. Urgent work stops others only if that loses at most twice its own work, or if it is guaranteed and has waited 0.9 s. Equal workers are taken from the fullest rack.

--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 namespace dandelioncrank::pool {
@@ -63,7 +64,9 @@
         std::uint32_t next_run_ = 1;
         bool is_guaranteed_ = false;
         int rank_ = 0;
+        /// Core-seconds of the whole step, as declared.
         double work_ = 0;
+        duration age_{};
 
         [[nodiscard]] const step_spec& spec() const;
     };
@@ -114,13 +117,19 @@
                                      const std::string& rack) const;
     [[nodiscard]] bool is_eligible(const unit& item, const room& where) const;
     [[nodiscard]] bool may_evict(const unit& item, const victim& what) const;
+    /// Whether the work lost is worth it.
+    [[nodiscard]] bool pays_off(const unit& item, const choice& where) const;
     void start(const unit& item, const choice& where);
     void take_room(const unit& item, const choice& where);
 
     const pool_state& state_;
     const planner_view& view_;
     room_map rooms_;
-    std::set<std::string> racks_;
+    /// Tasks of one step on one worker, those placed in this pass included.
+    using step_key = std::tuple<job_id, std::uint32_t, std::uint32_t>;
+    std::map<std::pair<step_key, worker_name>, std::uint32_t> step_counts_;
+    /// Free accelerators by rack.
+    std::map<std::string, std::int64_t> racks_;
     std::set<job_id> guaranteed_;
     std::vector<victim> victims_;
     std::vector<unit> units_;
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -15,8 +15,14 @@
 constexpr double cores_per_accelerator = 8.0;
 // A job that ends later than this many times its objective has no value.
 constexpr int late_factor = 3;
-// Work lost with a task that saves its progress: the time since it last did.
-constexpr duration save_interval = 2s;
+// Time that a stop and a new start cost besides the work lost.
+constexpr double restart_seconds = 1.0;
+// Work of others that may be lost for each unit of work that begins at once:
+// urgent work is worth several times as much for each core-second.
+constexpr double max_lost_per_work = 2.0;
+// A guaranteed job waits so long for room that costs less; the rest of the
+// time to reclaim is for the stops.
+constexpr duration patience = 900ms;
 
 double seconds(duration value)
 {
@@ -97,9 +103,12 @@
             found->second.info_.is_draining_)
             continue;
         room item{&found->second, found->second.info_.capacity_, {}};
-        for (const run_ref& run : state_.runs_on(name))
+        for (const run_ref& run : state_.runs_on(name)) {
             item.free_ -= state_.spec_of(run.task_).need_;
-        racks_.insert(found->second.info_.rack_.str());
+            const task_ref& task = run.task_;
+            ++step_counts_[{{task.job_, task.occurrence_, task.step_}, name}];
+        }
+        racks_[found->second.info_.rack_.str()] += item.free_.accelerators_;
         rooms_.emplace(name, std::move(item));
     }
 }
@@ -143,11 +152,11 @@
         if (seen->second.is_stopping_)
             return 0;
         const step_spec& spec = job.order_.steps_[run.task_.step_];
-        duration lost = view_.now_ - seen->second.started_at_;
-        if (spec.saves_progress_)
-            lost = std::min(lost, save_interval);
-        // One second more stands for the stop and the new start.
-        cost += (seconds(lost) + 1.0) * cores_of(spec.need_);
+        // Progress is saved when a task is stopped, if it can be.
+        duration lost = spec.saves_progress_
+                            ? duration::zero()
+                            : view_.now_ - seen->second.started_at_;
+        cost += (seconds(lost) + restart_seconds) * cores_of(spec.need_);
     }
     return cost;
 }
@@ -224,8 +233,11 @@
             const step_spec& spec = job.order_.steps_[s];
             if (steps[s].is_done() || !job.is_ready(k, s))
                 continue;
-            unit gang{&job, k, s, {}, 1, guaranteed_.contains(job.order_.id_),
-                      0,    0};
+            unit gang;
+            gang.job_ = &job;
+            gang.occurrence_ = k;
+            gang.step_ = s;
+            gang.is_guaranteed_ = guaranteed_.contains(job.order_.id_);
             bool gang_is_whole = true;
             for (std::uint32_t i = 0; i < steps[s].tasks_.size(); ++i) {
                 const task_record& task = steps[s].tasks_[i];
@@ -261,6 +273,7 @@
     auto accepted = view_.accepted_at_.find(job.order_.id_);
     if (accepted != view_.accepted_at_.end())
         age = view_.now_ - accepted->second;
+    item.age_ = age;
     duration chain = longest_chain(job, nullptr);
     duration rest = longest_chain(job, &job.occurrences_[item.occurrence_]);
     auto objective =
@@ -292,7 +305,7 @@
     if (item.job_->queue_.priority_ != 0)
         return;
     auto where = place(item, true);
-    if (!where)
+    if (!where || !pays_off(item, *where))
         return;
     for (std::size_t index : where->victims_) {
         for (const auto& [run, worker] : victims_[index].runs_) {
@@ -307,6 +320,12 @@
     take_room(item, *where);
 }
 
+bool placement_planner::pays_off(const unit& item, const choice& where) const
+{
+    bool is_due = item.is_guaranteed_ && item.age_ >= patience;
+    return is_due || where.cost_ <= max_lost_per_work * item.work_;
+}
+
 bool placement_planner::may_evict(const unit& item, const victim& what) const
 {
     if (what.cost_ == 0)
@@ -360,7 +379,7 @@
         return place_within(item, {}, may_evict);
     std::optional<choice> best;
     bool some_rack_can = false;
-    for (const std::string& rack : racks_) {
+    for (const auto& [rack, free] : racks_) {
         if (!rack_can_hold(item, rack))
             continue;
         some_rack_can = true;
@@ -386,17 +405,16 @@
         int failures_ = 0;
     };
     std::map<worker_name, candidate> candidates;
+    step_key key{item.job_->order_.id_, item.occurrence_, item.step_};
     for (const auto& [name, where] : rooms_) {
         bool in_rack =
             rack.empty() || where.worker_->info_.rack_.str() == rack;
         if (!in_rack || !is_eligible(item, where))
             continue;
         candidate entry{&where, where.free_, 0, view_.usable_.at(name)};
-        for (const run_ref& run : state_.runs_on(name)) {
-            entry.used_ += run.task_.job_ == item.job_->order_.id_ &&
-                           run.task_.occurrence_ == item.occurrence_ &&
-                           run.task_.step_ == item.step_;
-        }
+        auto placed = step_counts_.find({key, name});
+        if (placed != step_counts_.end())
+            entry.used_ = placed->second;
         candidates.emplace(name, entry);
     }
     choice result;
@@ -404,8 +422,10 @@
     for (std::size_t n = 0; n < item.tasks_.size(); ++n) {
         candidate* best = nullptr;
         std::vector<std::size_t> best_victims;
-        // Evictions, recent failures, accelerators left, processor left.
-        std::tuple<double, int, std::int64_t, std::int64_t> best_key;
+        // Evictions, recent failures, accelerators left on the worker and in
+        // its rack, processor left: whole workers and racks stay free.
+        std::tuple<double, int, std::int64_t, std::int64_t, std::int64_t>
+            best_key;
         for (auto& [name, entry] : candidates) {
             if (spec.per_worker_limit_ > 0 &&
                 entry.used_ >= spec.per_worker_limit_)
@@ -444,11 +464,12 @@
                     continue;
             }
             left -= spec.need_;
-            std::tuple key(cost, entry.failures_, left.accelerators_,
-                           left.cpu_);
-            if (best == nullptr || key < best_key) {
+            std::tuple rating(
+                cost, entry.failures_, left.accelerators_,
+                racks_.at(entry.room_->worker_->info_.rack_.str()), left.cpu_);
+            if (best == nullptr || rating < best_key) {
                 best = &entry;
-                best_key = key;
+                best_key = rating;
                 best_victims = chosen;
             }
         }
@@ -495,8 +516,14 @@
 // not given to those that come after it.
 void placement_planner::take_room(const unit& item, const choice& where)
 {
-    for (const worker_name& name : where.workers_)
-        rooms_.at(name).free_ -= item.spec().need_;
+    step_key key{item.job_->order_.id_, item.occurrence_, item.step_};
+    for (const worker_name& name : where.workers_) {
+        room& taken = rooms_.at(name);
+        taken.free_ -= item.spec().need_;
+        racks_.at(taken.worker_->info_.rack_.str()) -=
+            item.spec().need_.accelerators_;
+        ++step_counts_[{key, name}];
+    }
     for (std::size_t index : where.victims_) {
         victim& gone = victims_[index];
         for (const auto& [run, worker] : gone.runs_) {
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -160,6 +160,11 @@
         job.occurrences_[command.occurrence_].steps_[command.step_];
     if (spec.is_gang_ && command.places_.size() != step.tasks_.size())
         return false;
+    std::map<worker_name, std::uint32_t> on_worker;
+    if (spec.per_worker_limit_ > 0) {
+        for (const task_record& task : step.tasks_)
+            ++on_worker[task.worker_];
+    }
     for (const task_place& place : command.places_) {
         auto worker = workers_.find(place.worker_);
         bool usable = worker != workers_.end() &&
@@ -173,6 +178,9 @@
                      command.run_ > task.run_;
         if (!waits)
             return false;
+        std::uint32_t here = ++on_worker[place.worker_];
+        if (spec.per_worker_limit_ > 0 && here > spec.per_worker_limit_)
+            return false;
     }
     return true;
 }
--- /dev/null
+++ b/libs/pool/test/placement_planner_test.cpp
@@ -0,0 +1,88 @@
+#include "pool_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace dandelioncrank;
+using namespace dandelioncrank::pool;
+
+namespace {
+
+std::map<worker_name, int> count_places(const placement_plan& plan)
+{
+    std::map<worker_name, int> counts;
+    for (const start_run& order : plan.starts_) {
+        for (const task_place& place : order.places_)
+            ++counts[place.worker_];
+    }
+    return counts;
+}
+
+} // namespace
+
+// arreola-rol trouble-1, seed 147289689: tasks of one step without a gang are
+// placed one by one, and each must count those placed before it.
+TEST_CASE("tasks placed in one pass count against the limit of their step",
+          "[placement_planner]")
+{
+    pool_fixture pool(4);
+    step_spec step = pool_fixture::make_step(6, 1, false);
+    step.per_worker_limit_ = 1;
+    pool.submit("a", {step});
+    placement_plan plan = pool.plan_and_start();
+    REQUIRE(plan.starts_.size() == 4);
+    for (const auto& [worker, count] : count_places(plan))
+        CHECK(count == 1);
+    CHECK(pool.plan().starts_.empty());
+}
+
+TEST_CASE("a start beyond the limit of its step is not committed",
+          "[placement_planner]")
+{
+    pool_fixture pool(2);
+    step_spec step = pool_fixture::make_step(2, 1, false);
+    step.per_worker_limit_ = 1;
+    job_id id = pool.submit("a", {step});
+    worker_name worker = pool_fixture::name_of(0);
+    CHECK(pool.state_.apply(start_run{id, 0, 0, 1, {{0, worker, 1}}}) ==
+          pool_reply::applied);
+    CHECK(pool.state_.apply(start_run{id, 0, 0, 1, {{1, worker, 1}}}) ==
+          pool_reply::rejected);
+}
+
+TEST_CASE("a gang that wants one rack waits for one that can hold it",
+          "[placement_planner]")
+{
+    pool_fixture pool(12);
+    step_spec step = pool_fixture::make_step(6, 8, true);
+    step.wants_one_rack_ = true;
+    pool.submit("a", {step});
+    pool.submit("b", {pool_fixture::make_step(1, 8, true)});
+    pool.submit("c", {step});
+    placement_plan plan = pool.plan_and_start();
+    // The small one goes first and leaves one whole rack.
+    REQUIRE(plan.starts_.size() == 2);
+    std::set<rack_name> racks;
+    for (const task_place& place : plan.starts_[1].places_)
+        racks.insert(pool.state_.workers().at(place.worker_).info_.rack_);
+    CHECK(racks.size() == 1);
+}
+
+TEST_CASE("a guaranteed job takes its accelerators back at once",
+          "[placement_planner]")
+{
+    pool_fixture pool(2);
+    pool.guarantee("t", 16);
+    job_id borrower = pool.submit("a", {pool_fixture::make_step(16, 1, false)},
+                                  2, "u");
+    pool.plan_and_start();
+    job_id owner = pool.submit("b", {pool_fixture::make_step(2, 8, true)}, 0);
+    placement_plan plan = pool.plan();
+    CHECK(plan.starts_.empty());
+    CHECK(plan.stops_.size() == 16);
+    pool.end_all(borrower, run_end::stopped);
+    plan = pool.plan_and_start();
+    REQUIRE(!plan.starts_.empty());
+    CHECK(plan.starts_.front().job_ == owner);
+}
--- /dev/null
+++ b/libs/pool/test/pool_fixture.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "dandelioncrank/pool/placement_planner.hpp"
+#include "dandelioncrank/pool/pool_state.hpp"
+
+#include <string>
+
+namespace dandelioncrank::pool {
+
+/// A pool of workers, six to a rack, with jobs handed in, for tests that
+/// plan and commit by hand.
+class pool_fixture
+{
+  public:
+    explicit pool_fixture(int workers, int per_rack = 6)
+    {
+        for (int i = 0; i < workers; ++i)
+            add_worker(i, i / per_rack);
+        view_.now_ = instant(std::chrono::hours(1));
+    }
+
+    void add_worker(int number, int rack)
+    {
+        worker_info info;
+        info.name_ = name_of(number);
+        info.life_ = 1;
+        info.service_ = service_name("rota");
+        info.address_ = "10.0.0." + std::to_string(number) + ":1";
+        info.capacity_ = {64'000, 131'072, 8};
+        info.rack_ = rack_name("r" + std::to_string(rack));
+        info.labels_ = {"a", info.rack_.str()};
+        state_.apply(put_worker{info});
+        view_.usable_[info.name_] = 0;
+    }
+
+    [[nodiscard]] static worker_name name_of(int number)
+    {
+        // Two digits keep the order of names that of the numbers.
+        std::string digits = std::to_string(number);
+        return worker_name(digits.size() < 2 ? "w0" + digits : "w" + digits);
+    }
+
+    /// A step of tasks with accelerators and little else.
+    [[nodiscard]] static step_spec
+    make_step(std::uint32_t count, std::int64_t accelerators, bool is_gang)
+    {
+        step_spec step;
+        step.count_ = count;
+        step.need_ = {1'000, 1'000, accelerators};
+        step.estimate_ = std::chrono::seconds(5);
+        step.is_gang_ = is_gang;
+        return step;
+    }
+
+    job_id submit(const std::string& id, std::vector<step_spec> steps,
+                  int priority = 1, const std::string& team = "t")
+    {
+        accept_job job;
+        job.order_.id_ = job_id(id);
+        job.order_.steps_ = std::move(steps);
+        job.queue_.name_ = "queue-" + std::to_string(priority);
+        job.queue_.service_ = service_name("rota");
+        job.queue_.priority_ = priority;
+        job.queue_.attempts_ = 2;
+        job.queue_.stretch_ = 3.0;
+        job.team_ = team_name(team);
+        job.accepted_ms_ = next_ms_++;
+        state_.apply(job);
+        view_.accepted_at_[job.order_.id_] = view_.now_;
+        return job.order_.id_;
+    }
+
+    void guarantee(const std::string& team, std::int64_t accelerators)
+    {
+        config_.version_ += 1;
+        config_.teams_[team_name(team)].guaranteed_accelerators_ =
+            accelerators;
+        state_.apply(put_config{config_});
+    }
+
+    [[nodiscard]] placement_plan plan()
+    {
+        return placement_planner(state_, view_).plan();
+    }
+
+    /// Plans and commits the starts.
+    placement_plan plan_and_start()
+    {
+        placement_plan result = plan();
+        for (const start_run& order : result.starts_) {
+            state_.apply(order);
+            for (const task_place& place : order.places_) {
+                run_ref run{{order.job_, order.occurrence_, order.step_,
+                             place.index_},
+                            order.run_};
+                view_.runs_[run] = {view_.now_, 0, false};
+            }
+        }
+        return result;
+    }
+
+    /// Ends every run of a job.
+    void end_all(const job_id& id, run_end end)
+    {
+        std::uint64_t& sequence = sequence_;
+        for (const auto& [name, record] : state_.workers()) {
+            std::set<run_ref> runs = state_.runs_on(name);
+            for (const run_ref& run : runs) {
+                if (run.task_.job_ == id)
+                    state_.apply(
+                        note_ends{name, 1, {{++sequence, run, end, {}}}});
+            }
+        }
+    }
+
+    pool_state state_;
+    planner_view view_;
+
+  private:
+    pool_config config_;
+    std::int64_t next_ms_ = 1;
+    std::uint64_t sequence_ = 0;
+};
+
+} // namespace dandelioncrank::pool
