pool: no free victims, no room before it is free, no preemption by work without value

Ruled out: workers becoming unusable for a moment (no calls lost in those seconds); changing racks (no rack was being cleared, though it can happen).

Change: runs are followed before each plan; rooms know what is pending; a rack whose clearing has begun is kept to; only work that goes first stops others.

--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -20,6 +20,9 @@
     bool is_stopping_ = false;
 };
 
+/// Names a step of one occurrence of a job.
+using step_key = std::tuple<job_id, std::uint32_t, std::uint32_t>;
+
 /// What is known beside the replicated state when a plan is made.
 struct planner_view
 {
@@ -30,13 +33,24 @@
     std::map<worker_name, int> usable_;
     std::map<run_ref, run_outlook> runs_;
     std::map<job_id, instant> accepted_at_;
+    /// Racks that the plan before has begun to clear for a gang.
+    std::map<step_key, std::string> cleared_racks_;
+};
+
+/// A run that gives way.
+struct stop_order
+{
+    run_ref run_;
+    /// The job that is to have the room.
+    job_id for_job_;
 };
 
 /// What to start and what to stop now.
 struct placement_plan
 {
     std::vector<start_run> starts_;
-    std::vector<run_ref> stops_;
+    std::vector<stop_order> stops_;
+    std::map<step_key, std::string> cleared_racks_;
 };
 
 /// Decides which waiting tasks start where, and which running ones give way.
@@ -69,6 +83,7 @@
         duration age_{};
 
         [[nodiscard]] const step_spec& spec() const;
+        [[nodiscard]] step_key key() const;
     };
 
     /// Running tasks that would be stopped together.
@@ -79,12 +94,17 @@
         double cost_ = 0;
         int priority_ = 0;
         bool is_guaranteed_ = false;
+        /// It is being stopped, or has ended and is yet to be listed.
+        bool is_ending_ = false;
     };
 
     struct room
     {
         const worker_record* worker_ = nullptr;
+        /// Free now and promised to nobody.
         resources free_;
+        /// Becomes free once the victims chosen so far have ended.
+        resources pending_;
         std::vector<std::size_t> victims_;
     };
 
@@ -101,8 +121,8 @@
     void survey_guarantees();
     void survey_victims();
     void add_victims_of(const job_record& job);
-    [[nodiscard]] double cost_of(const job_record& job,
-                                 const std::vector<run_ref>& runs) const;
+    void rate_victim(const job_record& job, victim& item) const;
+    [[nodiscard]] bool is_ending(const run_ref& run) const;
     void collect_units();
     void collect_units_of(const job_record& job);
     void rank(unit& item) const;
@@ -120,13 +140,13 @@
     /// Whether the work lost is worth it.
     [[nodiscard]] bool pays_off(const unit& item, const choice& where) const;
     void start(const unit& item, const choice& where);
-    void take_room(const unit& item, const choice& where);
+    /// Keeps room for a unit that cannot start before its victims end.
+    void reserve(const unit& item, const choice& where);
 
     const pool_state& state_;
     const planner_view& view_;
     room_map rooms_;
     /// Tasks of one step on one worker, those placed in this pass included.
-    using step_key = std::tuple<job_id, std::uint32_t, std::uint32_t>;
     std::map<std::pair<step_key, worker_name>, std::uint32_t> step_counts_;
     /// Free accelerators by rack.
     std::map<std::string, std::int64_t> racks_;
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -97,6 +97,7 @@
     std::map<worker_name, std::unique_ptr<worker_session>> sessions_;
     std::map<std::uint64_t, worker_name> calls_;
     std::map<job_id, instant> accepted_at_;
+    std::map<step_key, std::string> cleared_racks_;
     bool is_dirty_ = true;
     bool batch_under_way_ = false;
     instant planned_at_{};
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -24,6 +24,9 @@
 // time to reclaim is for the stops.
 constexpr duration patience = 900ms;
 
+// Added to the rank of jobs that have nothing left to win.
+constexpr int worthless_rank = 100;
+
 double seconds(duration value)
 {
     return static_cast<double>(value.count()) / 1e6;
@@ -69,6 +72,11 @@
     return job_->order_.steps_[step_];
 }
 
+step_key placement_planner::unit::key() const
+{
+    return {job_->order_.id_, occurrence_, step_};
+}
+
 placement_planner::placement_planner(const pool_state& state,
                                      const planner_view& view)
     : state_(state), view_(view)
@@ -102,7 +110,7 @@
         if (found == state_.workers().end() ||
             found->second.info_.is_draining_)
             continue;
-        room item{&found->second, found->second.info_.capacity_, {}};
+        room item{&found->second, found->second.info_.capacity_, {}, {}};
         for (const run_ref& run : state_.runs_on(name)) {
             item.free_ -= state_.spec_of(run.task_).need_;
             const task_ref& task = run.task_;
@@ -141,24 +149,28 @@
     }
 }
 
-double placement_planner::cost_of(const job_record& job,
-                                  const std::vector<run_ref>& runs) const
+bool placement_planner::is_ending(const run_ref& run) const
 {
-    double cost = 0;
-    for (const run_ref& run : runs) {
-        auto seen = view_.runs_.find(run);
-        if (seen == view_.runs_.end())
-            continue;
-        if (seen->second.is_stopping_)
-            return 0;
+    auto seen = view_.runs_.find(run);
+    bool is_stopping =
+        seen != view_.runs_.end() && seen->second.is_stopping_;
+    return is_stopping || !state_.is_wanted(run);
+}
+
+void placement_planner::rate_victim(const job_record& job, victim& item) const
+{
+    for (const auto& [run, worker] : item.runs_) {
+        item.is_ending_ = item.is_ending_ || is_ending(run);
         const step_spec& spec = job.order_.steps_[run.task_.step_];
+        duration lost{};
+        auto seen = view_.runs_.find(run);
         // Progress is saved when a task is stopped, if it can be.
-        duration lost = spec.saves_progress_
-                            ? duration::zero()
-                            : view_.now_ - seen->second.started_at_;
-        cost += (seconds(lost) + restart_seconds) * cores_of(spec.need_);
+        if (!spec.saves_progress_ && seen != view_.runs_.end())
+            lost = view_.now_ - seen->second.started_at_;
+        item.cost_ += (seconds(lost) + restart_seconds) * cores_of(spec.need_);
     }
-    return cost;
+    if (item.is_ending_)
+        item.cost_ = 0;
 }
 
 void placement_planner::survey_victims()
@@ -197,13 +209,7 @@
                     task.worker_);
             }
             for (victim& item : found) {
-                std::vector<run_ref> runs;
-                bool ends_soon = false;
-                for (const auto& entry : item.runs_) {
-                    runs.push_back(entry.first);
-                    ends_soon = ends_soon || !state_.is_wanted(entry.first);
-                }
-                item.cost_ = ends_soon ? 0 : cost_of(job, runs);
+                rate_victim(job, item);
                 victims_.push_back(std::move(item));
             }
         }
@@ -284,7 +290,6 @@
         lateness = 2;
     else if (age + rest > objective)
         lateness = 1;
-    constexpr int worthless_rank = 100;
     item.rank_ = 2 * std::min(job.queue_.priority_, 40) + lateness + 1;
     if (lateness == 2)
         item.rank_ += worthless_rank;
@@ -302,22 +307,22 @@
         start(item, *where);
         return;
     }
-    if (item.job_->queue_.priority_ != 0)
+    // Work that goes first only for its priority, yet waits behind others as
+    // it has nothing left to win, would lose the room to them again.
+    bool goes_first = item.job_->queue_.priority_ == 0 &&
+                      item.rank_ < worthless_rank;
+    if (!goes_first)
         return;
     auto where = place(item, true);
     if (!where || !pays_off(item, *where))
         return;
     for (std::size_t index : where->victims_) {
         for (const auto& [run, worker] : victims_[index].runs_) {
-            auto seen = view_.runs_.find(run);
-            bool is_ending = (seen != view_.runs_.end() &&
-                              seen->second.is_stopping_) ||
-                             !state_.is_wanted(run);
-            if (!is_ending)
-                plan_.stops_.push_back(run);
+            if (!is_ending(run))
+                plan_.stops_.push_back({run, item.job_->order_.id_});
         }
     }
-    take_room(item, *where);
+    reserve(item, *where);
 }
 
 bool placement_planner::pays_off(const unit& item, const choice& where) const
@@ -328,7 +333,7 @@
 
 bool placement_planner::may_evict(const unit& item, const victim& what) const
 {
-    if (what.cost_ == 0)
+    if (what.is_ending_)
         return true;
     if (what.priority_ > item.job_->queue_.priority_)
         return true;
@@ -377,6 +382,14 @@
     bool one_rack = spec.wants_one_rack_ && item.tasks_.size() > 1;
     if (!one_rack)
         return place_within(item, {}, may_evict);
+    // A rack whose clearing has begun is kept to: changing racks would stop
+    // work in both.
+    auto cleared = view_.cleared_racks_.find(item.key());
+    if (may_evict && cleared != view_.cleared_racks_.end() &&
+        rack_can_hold(item, cleared->second)) {
+        if (auto here = place_within(item, cleared->second, true))
+            return here;
+    }
     std::optional<choice> best;
     bool some_rack_can = false;
     for (const auto& [rack, free] : racks_) {
@@ -405,14 +418,15 @@
         int failures_ = 0;
     };
     std::map<worker_name, candidate> candidates;
-    step_key key{item.job_->order_.id_, item.occurrence_, item.step_};
     for (const auto& [name, where] : rooms_) {
         bool in_rack =
             rack.empty() || where.worker_->info_.rack_.str() == rack;
         if (!in_rack || !is_eligible(item, where))
             continue;
         candidate entry{&where, where.free_, 0, view_.usable_.at(name)};
-        auto placed = step_counts_.find({key, name});
+        if (may_evict)
+            entry.free_ += where.pending_;
+        auto placed = step_counts_.find({item.key(), name});
         if (placed != step_counts_.end())
             entry.used_ = placed->second;
         candidates.emplace(name, entry);
@@ -508,33 +522,47 @@
         order.places_.push_back(
             {item.tasks_[n], name, rooms_.at(name).worker_->info_.life_});
     }
-    plan_.starts_.push_back(std::move(order));
-    take_room(item, where);
-}
-
-// Room that is promised to a unit, now or once its victims have ended, is
-// not given to those that come after it.
-void placement_planner::take_room(const unit& item, const choice& where)
-{
-    step_key key{item.job_->order_.id_, item.occurrence_, item.step_};
     for (const worker_name& name : where.workers_) {
         room& taken = rooms_.at(name);
         taken.free_ -= item.spec().need_;
         racks_.at(taken.worker_->info_.rack_.str()) -=
             item.spec().need_.accelerators_;
-        ++step_counts_[{key, name}];
+        ++step_counts_[{item.key(), name}];
     }
+    plan_.starts_.push_back(std::move(order));
+}
+
+// What the victims leave over is nobody's before they have ended, and room
+// that is free now but promised is not given to those that come after.
+void placement_planner::reserve(const unit& item, const choice& where)
+{
     for (std::size_t index : where.victims_) {
         victim& gone = victims_[index];
         for (const auto& [run, worker] : gone.runs_) {
             auto found = rooms_.find(worker);
             if (found == rooms_.end())
                 continue;
-            found->second.free_ += gone.need_;
+            found->second.pending_ += gone.need_;
             std::erase(found->second.victims_, index);
         }
         gone.runs_.clear();
     }
+    const resources& need = item.spec().need_;
+    for (const worker_name& name : where.workers_) {
+        room& taken = rooms_.at(name);
+        resources later{std::min(need.cpu_, taken.pending_.cpu_),
+                        std::min(need.memory_mb_, taken.pending_.memory_mb_),
+                        std::min(need.accelerators_,
+                                 taken.pending_.accelerators_)};
+        taken.pending_ -= later;
+        resources now = need;
+        now -= later;
+        taken.free_ -= now;
+        ++step_counts_[{item.key(), name}];
+    }
+    if (item.spec().wants_one_rack_)
+        plan_.cleared_racks_[item.key()] =
+            rooms_.at(where.workers_.front()).worker_->info_.rack_.str();
 }
 
 } // namespace dandelioncrank::pool
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -68,6 +68,7 @@
     sessions_.clear();
     calls_.clear();
     accepted_at_.clear();
+    cleared_racks_.clear();
     batch_under_way_ = false;
     output_ = {};
 }
@@ -121,6 +122,7 @@
         if (!sessions_.contains(name))
             sessions_[name] = std::make_unique<worker_session>(
                 state_, timing_, name, record.info_.life_, term_, now, false);
+        sessions_.at(name)->follow_state(now);
     }
 }
 
@@ -196,6 +198,7 @@
         found->second = now - std::chrono::milliseconds(age);
     }
     view.accepted_at_ = accepted_at_;
+    view.cleared_racks_ = cleared_racks_;
     return view;
 }
 
@@ -205,12 +208,21 @@
     planned_at_ = now;
     planner_view view = make_view(now, wall_ms);
     placement_plan result = placement_planner(state_, view).plan();
-    for (const run_ref& run : result.stops_) {
+    for (const auto& [step, rack] : result.cleared_racks_) {
+        auto before = cleared_racks_.find(step);
+        if (before == cleared_racks_.end() || before->second != rack)
+            output_.events_.push_back({std::get<0>(step).str(),
+                                       "rack " + rack +
+                                           " is cleared for the job"});
+    }
+    cleared_racks_ = std::move(result.cleared_racks_);
+    for (const stop_order& order : result.stops_) {
         for (auto& item : sessions_)
-            item.second->request_stop(run);
+            item.second->request_stop(order.run_);
         output_.events_.push_back(
-            {run.task_.job_.str(),
-             "run " + to_text(run) + " gives way to work that goes first"});
+            {order.run_.task_.job_.str(),
+             "run " + to_text(order.run_) + " gives way to job " +
+                 order.for_job_.str()});
     }
     for (start_run& order : result.starts_) {
         output_.events_.push_back(
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -145,7 +145,6 @@
                                          std::uint64_t& next_call,
                                          owner_output& out)
 {
-    follow_state(now);
     conclude_lapsed(now, out);
     for (auto& [run, entry] : runs_)
         advance_run(run, entry, now, next_call, out);
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -18,6 +18,8 @@
 
     [[nodiscard]] std::int64_t life() const { return life_; }
 
+    /// Takes over which runs the state holds for this worker.
+    void follow_state(instant now);
     void hear(std::int64_t clock_ms, instant now);
     void take_result(std::uint64_t call, const call_result& result,
                      instant now, owner_output& out);
@@ -68,7 +70,6 @@
         instant sent_at_{};
     };
 
-    void follow_state(instant now);
     void advance_run(const run_ref& run, run_entry& entry, instant now,
                      std::uint64_t& next_call, owner_output& out);
     void advance_hold(instant now, std::uint64_t& next_call,
--- a/libs/pool/test/placement_planner_test.cpp
+++ b/libs/pool/test/placement_planner_test.cpp
@@ -86,3 +86,80 @@
     REQUIRE(!plan.starts_.empty());
     CHECK(plan.starts_.front().job_ == owner);
 }
+
+// arreola-rol scale-2, seed 114877015: runs committed a moment before were
+// taken to cost nothing, and gangs stopped each other twelve thousand times.
+TEST_CASE("a run that the owner has not looked at yet is no free victim",
+          "[placement_planner]")
+{
+    pool_fixture pool(1);
+    pool.submit("a", {pool_fixture::make_step(1, 8, true)}, 0);
+    pool.plan_and_start();
+    pool.view_.runs_.clear();
+    pool.submit("b", {pool_fixture::make_step(1, 8, true)}, 0);
+    CHECK(pool.plan().stops_.empty());
+}
+
+TEST_CASE("an urgent job without a guarantee spares work larger than its own",
+          "[placement_planner]")
+{
+    pool_fixture pool(6);
+    pool.submit("a", {pool_fixture::make_step(6, 8, true)}, 1);
+    pool.plan_and_start();
+    pool.submit("b", {pool_fixture::make_step(1, 1, true)}, 0);
+    pool.view_.now_ += std::chrono::seconds(4);
+    CHECK(pool.plan().stops_.empty());
+}
+
+// arreola-rol scale-2, seed 114877015: small tasks were placed in room that
+// stopped work had not left yet, and their workers refused them.
+TEST_CASE("room that a stopped run still holds is given to nobody",
+          "[placement_planner]")
+{
+    pool_fixture pool(1);
+    pool.guarantee("t", 8);
+    pool.submit("a", {pool_fixture::make_step(1, 8, false)}, 2, "u");
+    pool.plan_and_start();
+    pool.submit("b", {pool_fixture::make_step(1, 2, true)}, 0);
+    pool.submit("c", {pool_fixture::make_step(4, 1, false)}, 2, "u");
+    pool.view_.now_ += std::chrono::seconds(2);
+    placement_plan plan = pool.plan();
+    CHECK(plan.stops_.size() == 1);
+    CHECK(plan.starts_.empty());
+}
+
+TEST_CASE("a gang keeps to the rack whose clearing has begun",
+          "[placement_planner]")
+{
+    pool_fixture pool(4, 2);
+    pool.guarantee("t", 16);
+    pool.submit("a", {pool_fixture::make_step(32, 1, false)}, 2, "u");
+    pool.plan_and_start();
+    pool.view_.now_ += std::chrono::seconds(2);
+    step_spec step = pool_fixture::make_step(2, 8, true);
+    step.wants_one_rack_ = true;
+    pool.submit("b", {step}, 0);
+    placement_plan first = pool.plan();
+    REQUIRE(first.cleared_racks_.size() == 1);
+    std::string rack = first.cleared_racks_.begin()->second;
+    pool.view_.cleared_racks_ = first.cleared_racks_;
+    // Work in the other rack has become cheaper to stop meanwhile.
+    for (auto& [run, seen] : pool.view_.runs_)
+        seen.started_at_ = pool.view_.now_;
+    placement_plan second = pool.plan();
+    REQUIRE(second.cleared_racks_.size() == 1);
+    CHECK(second.cleared_racks_.begin()->second == rack);
+}
+
+// arreola-rol scale-2, seed 114877015: a wide gang that was long too late
+// went on stopping the work that was placed before it in each pass.
+TEST_CASE("a job that is too late to be of use stops nobody",
+          "[placement_planner]")
+{
+    pool_fixture pool(2);
+    pool.submit("a", {pool_fixture::make_step(16, 1, false)}, 2);
+    pool.plan_and_start();
+    job_id late = pool.submit("b", {pool_fixture::make_step(2, 8, true)}, 0);
+    pool.view_.accepted_at_[late] -= std::chrono::minutes(2);
+    CHECK(pool.plan().stops_.empty());
+}
