--- a/libs/control/include/dandelioncrank/control/control_settings.hpp
+++ b/libs/control/include/dandelioncrank/control/control_settings.hpp
@@ -29,6 +29,8 @@
     /// Control addresses of some control hosts.
     std::vector<host_port> seeds_;
     std::string data_dir_;
+    /// Control hosts that may be lost at once with their disks.
+    std::size_t tolerated_hosts_ = 1;
     /// First start of the whole group.
     bool bootstrap_ = false;
     /// Time a process has between the order to stop and its end.
--- a/libs/control/include/dandelioncrank/control/member_planner.hpp
+++ b/libs/control/include/dandelioncrank/control/member_planner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dandelioncrank/consensus/consensus_core.hpp"
+#include "dandelioncrank/core/name.hpp"
 
 #include <map>
 #include <optional>
@@ -20,6 +21,11 @@
     voter_name who_;
 };
 
+struct promote_step
+{
+    voter_name who_;
+};
+
 struct replace_voter_step
 {
     voter_name old_;
@@ -31,8 +37,8 @@
     voter_name who_;
 };
 
-using member_step =
-    std::variant<add_learner_step, replace_voter_step, remove_member_step>;
+using member_step = std::variant<add_learner_step, promote_step,
+                                 replace_voter_step, remove_member_step>;
 
 /// What the leader knows when it looks after the group's members.
 struct member_view
@@ -43,12 +49,17 @@
     std::map<voter_name, instant> greeted_at_;
     /// When each member last answered the leader.
     std::map<voter_name, instant> heard_at_;
+    /// Availability zone of each control host, by address.
+    std::map<std::string, zone_name> zones_;
+    /// Twice the hosts that may be lost at once, and one.
+    std::size_t wanted_voters_ = 3;
     instant now_{};
 };
 
 /// The next change of members, if one is due: hosts that are new learn, a
-/// host without its disk takes its old identity's place, and a voter that is
-/// silent for long gives its vote to a learner.
+/// host without its disk takes its old identity's place, learners vote until
+/// there are as many voters as wanted, no zone with half of them, and a voter
+/// that is silent for long gives its vote to a learner.
 [[nodiscard]] std::optional<member_step>
 next_member_step(const member_view& view);
 
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -123,6 +123,7 @@
     bool taking_over_ = false;
     std::map<worker_name, std::pair<std::int64_t, std::uint64_t>> sequences_;
     std::map<voter_name, instant> greeted_at_;
+    std::map<std::string, zone_name> zones_;
     std::vector<queued_command> commands_;
     std::vector<std::function<void(bool)>> reads_;
     bool flush_scheduled_ = false;
@@ -212,6 +213,7 @@
     if (!item.voter_.empty()) {
         peers_.add_control_host(item.address_);
         greeted_at_[item.voter_] = steady_now();
+        zones_[item.address_] = item.zone_;
     }
     hello_answer answer;
     answer.leads_ = leads();
@@ -247,7 +249,7 @@
     if (now - greeted_others_at_ < pause)
         return;
     greeted_others_at_ = now;
-    hello message{peers_.self(), replica_->status().self_};
+    hello message{peers_.self(), replica_->status().self_, settings_.zone_};
     for (const std::string& address : peers_.control_hosts()) {
         peers_.ask<hello_answer>(
             address, message, hello_limit,
@@ -704,7 +706,14 @@
         return;
     members_reviewed_at_ = now;
     replica_status status = replica_->status();
-    member_view view{status.members_, status.self_, greeted_at_, {}, now};
+    member_view view;
+    view.members_ = status.members_;
+    view.self_ = status.self_;
+    view.greeted_at_ = greeted_at_;
+    view.zones_ = zones_;
+    view.zones_[peers_.self()] = settings_.zone_;
+    view.wanted_voters_ = 2 * settings_.tolerated_hosts_ + 1;
+    view.now_ = now;
     for (const auto* group :
          {&status.members_.voters_, &status.members_.learners_}) {
         for (const voter_name& who : *group) {
@@ -722,6 +731,11 @@
                        return replica_->add_learner(
                            item.who_, address_of(item.who_), now);
                    },
+                   [&](const promote_step& item) {
+                       log_.event("A learner is to vote.",
+                                  {{"member", item.who_.str()}});
+                       return replica_->promote_learner(item.who_, now);
+                   },
                    [&](const replace_voter_step& item) {
                        log_.event("A voter is replaced.",
                                   {{"old", item.old_.str()},
--- a/libs/control/src/control_messages.hpp
+++ b/libs/control/src/control_messages.hpp
@@ -16,11 +16,12 @@
     std::string address_;
     /// Identity of a control host's replica; empty on entry hosts.
     voter_name voter_;
+    zone_name zone_;
 
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(address_, voter_);
+        archive(address_, voter_, zone_);
     }
 };
 
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -4,6 +4,8 @@
 #include <absl/strings/str_split.h>
 #include <absl/time/time.h>
 
+#include <algorithm>
+
 ABSL_FLAG(std::string, host, "", "name of this host");
 ABSL_FLAG(std::string, zone, "", "availability zone of this host");
 ABSL_FLAG(std::string, internal_address, "",
@@ -22,6 +24,8 @@
           "control addresses of some control hosts, separated by commas");
 ABSL_FLAG(std::string, data_dir, "", "folder for durable state");
 ABSL_FLAG(bool, bootstrap, false, "this is the group's first start");
+ABSL_FLAG(int, tolerated_hosts, 1,
+          "control hosts that may be lost at once with their disks");
 ABSL_FLAG(absl::Duration, stop_time, absl::Seconds(6),
           "time from the order to stop to the end of the process");
 ABSL_FLAG(absl::Duration, longest_lease, absl::Seconds(6),
@@ -57,7 +61,7 @@
     return {"DANDELIONCRANK",
             {"host", "zone", "internal_address", "control_address",
              "client_address", "ready_address", "metrics_address", "seeds",
-             "data_dir", "bootstrap", "stop_time", "longest_lease",
+             "data_dir", "bootstrap", "tolerated_hosts", "stop_time", "longest_lease",
              "announce_interval", "body_kib", "log_level"}};
 }
 
@@ -172,6 +176,13 @@
         faults.add({"--body_kib"}, std::to_string(body_kib) + " is out of range",
                    "write 1 to 65536");
     settings.limits_.body_bytes_ = static_cast<std::size_t>(body_kib) * 1024;
+    int tolerated = absl::GetFlag(FLAGS_tolerated_hosts);
+    if (tolerated < 0 || tolerated > 3)
+        faults.add({"--tolerated_hosts"},
+                   std::to_string(tolerated) + " is out of range",
+                   "write 0 to 3");
+    settings.tolerated_hosts_ =
+        static_cast<std::size_t>(std::clamp(tolerated, 0, 3));
     settings.log_level_ = read_log_level(faults);
     if (!result.help_requested_)
         check(settings, faults);
--- a/libs/control/src/entry_host.cpp
+++ b/libs/control/src/entry_host.cpp
@@ -26,8 +26,11 @@
 constexpr auto retry_pause = 30ms;
 // The answer leaves this much before the client gives up.
 constexpr duration answer_margin = 150ms;
-// When a client should come back that came while no leader was known.
-constexpr duration retry_after = 1s;
+// When a client should come back that came while no leader was known: most
+// elections end within the first time, a longer loss is one of many hosts.
+constexpr duration short_retry = 1s;
+constexpr duration long_retry = 3s;
+constexpr duration long_loss = 1500ms;
 
 } // namespace
 
@@ -122,7 +125,7 @@
     const auto& hosts = peers_.control_hosts();
     if (hosts.empty())
         return;
-    hello message{peers_.self(), {}};
+    hello message{peers_.self(), {}, settings_.zone_};
     std::vector<std::string> targets;
     if (!leader_.empty())
         targets.push_back(leader_);
@@ -157,7 +160,7 @@
         answer->leader_ != from) {
         std::string named = answer->leader_;
         peers_.ask<hello_answer>(
-            named, hello{peers_.self(), {}}, hello_limit,
+            named, hello{peers_.self(), {}, settings_.zone_}, hello_limit,
             [this, named](const std::optional<hello_answer>& said) {
                 if (said && said->leads_)
                     take_hello(named, said);
@@ -189,7 +192,8 @@
         client_answer answer;
         answer.kind_ = item->in_doubt_ ? client_outcome_kind::unsure
                                        : client_outcome_kind::unavailable;
-        answer.retry_after_ = retry_after;
+        bool is_long = now - leader_heard_at_ > long_loss + fresh_time;
+        answer.retry_after_ = is_long ? long_retry : short_retry;
         finish(*item, answer);
         return;
     }
--- a/libs/control/src/member_planner.cpp
+++ b/libs/control/src/member_planner.cpp
@@ -41,6 +41,46 @@
     return std::nullopt;
 }
 
+bool is_usable_learner(const member_view& view, const voter_name& who)
+{
+    return is_present(view, who) && !is_silent(view, who, present_time);
+}
+
+/// Voters in the zone of a host, without the one that would be replaced.
+std::size_t voters_beside(const member_view& view, const voter_name& who,
+                          const voter_name* replaced)
+{
+    auto zone = view.zones_.find(address_of(who));
+    std::size_t count = 0;
+    for (const voter_name& voter : view.members_.voters_) {
+        if (replaced != nullptr && voter == *replaced)
+            continue;
+        auto other = view.zones_.find(address_of(voter));
+        bool known = zone != view.zones_.end() && other != view.zones_.end();
+        count += known && other->second == zone->second;
+    }
+    return count;
+}
+
+/// The learner whose vote spreads the voters best; none if its zone would
+/// then hold half of the wanted voters.
+std::optional<voter_name> best_learner(const member_view& view,
+                                       const voter_name* replaced)
+{
+    std::optional<voter_name> best;
+    std::size_t least = view.wanted_voters_ / 2;
+    for (const voter_name& learner : view.members_.learners_) {
+        if (!is_usable_learner(view, learner))
+            continue;
+        std::size_t beside = voters_beside(view, learner, replaced);
+        if (beside < least) {
+            least = beside;
+            best = learner;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 std::string address_of(const voter_name& voter)
@@ -78,14 +118,15 @@
         if (!is_member && is_present(view, who))
             return add_learner_step{who};
     }
+    if (members.voters_.size() < view.wanted_voters_) {
+        if (auto next = best_learner(view, nullptr))
+            return promote_step{*next};
+    }
     for (const voter_name& voter : members.voters_) {
         if (!is_silent(view, voter, replace_time))
             continue;
-        for (const voter_name& learner : members.learners_) {
-            if (is_present(view, learner) &&
-                !is_silent(view, learner, present_time))
-                return replace_voter_step{voter, learner};
-        }
+        if (auto next = best_learner(view, &voter))
+            return replace_voter_step{voter, *next};
     }
     return std::nullopt;
 }
--- /dev/null
+++ b/libs/control/test/member_planner_test.cpp
@@ -0,0 +1,127 @@
+#include "dandelioncrank/control/member_planner.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelioncrank;
+using namespace dandelioncrank::control;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr instant now{1h};
+
+/// A leader's view of hosts that are all present and answering.
+class group_fixture
+{
+  public:
+    group_fixture() { view_.now_ = now; }
+
+    voter_name add_host(const std::string& address, const std::string& zone,
+                        const std::string& suffix = "0")
+    {
+        voter_name who = make_identity(address, suffix);
+        view_.greeted_at_[who] = now;
+        view_.zones_[address] = zone_name(zone);
+        return who;
+    }
+
+    voter_name add_voter(const std::string& address, const std::string& zone)
+    {
+        voter_name who = add_host(address, zone);
+        view_.members_.voters_.insert(who);
+        view_.heard_at_[who] = now;
+        return who;
+    }
+
+    voter_name add_learner(const std::string& address, const std::string& zone)
+    {
+        voter_name who = add_host(address, zone);
+        view_.members_.learners_.insert(who);
+        view_.heard_at_[who] = now;
+        return who;
+    }
+
+    template <class Step>
+    Step next()
+    {
+        auto step = next_member_step(view_);
+        REQUIRE(step);
+        REQUIRE(std::holds_alternative<Step>(*step));
+        return std::get<Step>(*step);
+    }
+
+    member_view view_;
+};
+
+} // namespace
+
+TEST_CASE("a control host that is new learns first", "[member_planner]")
+{
+    group_fixture group;
+    group.add_voter("a:1", "x");
+    group.add_voter("b:1", "y");
+    group.add_voter("c:1", "z");
+    voter_name fresh = group.add_host("d:1", "w");
+    CHECK(group.next<add_learner_step>().who_ == fresh);
+}
+
+TEST_CASE("a host that lost its disk takes its old vote under a new identity",
+          "[member_planner]")
+{
+    group_fixture group;
+    group.add_voter("a:1", "x");
+    voter_name old = group.add_voter("b:1", "y");
+    group.add_voter("c:1", "z");
+    group.view_.greeted_at_[old] = now - 5s;
+    voter_name next = group.add_host("b:1", "y", "f00");
+    auto step = group.next<replace_voter_step>();
+    CHECK(step.old_ == old);
+    CHECK(step.next_ == next);
+}
+
+TEST_CASE("learners vote until two lost hosts leave a majority",
+          "[member_planner]")
+{
+    group_fixture group;
+    group.view_.wanted_voters_ = 5;
+    group.add_voter("a:1", "x");
+    group.add_voter("b:1", "x");
+    group.add_voter("c:1", "z");
+    group.add_learner("d:1", "x");
+    voter_name spread = group.add_learner("e:1", "w");
+    // A third voter in one zone would be half of the group.
+    CHECK(group.next<promote_step>().who_ == spread);
+    group.view_.members_.learners_.erase(spread);
+    group.view_.members_.voters_.insert(spread);
+    CHECK(!next_member_step(group.view_));
+}
+
+TEST_CASE("a voter keeps its vote through a cut of seconds",
+          "[member_planner]")
+{
+    group_fixture group;
+    group.add_voter("a:1", "x");
+    group.add_voter("b:1", "y");
+    voter_name silent = group.add_voter("c:1", "z");
+    voter_name learner = group.add_learner("d:1", "w");
+    group.view_.heard_at_[silent] = now - 6s;
+    CHECK(!next_member_step(group.view_));
+    group.view_.heard_at_[silent] = now - 9s;
+    auto step = group.next<replace_voter_step>();
+    CHECK(step.old_ == silent);
+    CHECK(step.next_ == learner);
+}
+
+TEST_CASE("a successor that is gone before it votes is given up",
+          "[member_planner]")
+{
+    group_fixture group;
+    group.add_voter("a:1", "x");
+    voter_name old = group.add_voter("b:1", "y");
+    group.add_voter("c:1", "z");
+    voter_name next = group.add_learner("d:1", "w");
+    group.view_.members_.replacement_ = {old, next};
+    CHECK(!next_member_step(group.view_));
+    group.view_.heard_at_[next] = now - 4s;
+    CHECK(group.next<remove_member_step>().who_ == next);
+}
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -20,6 +20,8 @@
 constexpr duration refusal_pause = 1s;
 // Ends that were proposed are proposed again if they are not committed.
 constexpr duration proposal_time = 400ms;
+// Time in which a member of a completed gang lists its end by itself.
+constexpr duration listing_time = 1s;
 // Pause before an idle worker is told which ends were noted: a new order
 // may come first and carry the hold anyway.
 constexpr duration cursor_delay = 30ms;
@@ -202,8 +204,13 @@
     const job_record& job = *state_.find_job(run.task_.job_);
     const step_record& step =
         job.occurrences_[run.task_.occurrence_].steps_[run.task_.step_];
-    if (step.tasks_[run.task_.index_].is_done_)
-        return; // Its end is yet to be listed.
+    bool is_done = step.tasks_[run.task_.index_].is_done_;
+    if (is_done && !entry.done_at_)
+        entry.done_at_ = now;
+    // Another member's end has completed the gang; this one lists its own.
+    if (is_done && entry.phase_ == run_phase::confirmed &&
+        now - *entry.done_at_ < listing_time)
+        return;
     bool wanted = state_.is_wanted(run) && !entry.stop_requested_;
     // A draining worker begins nothing new.
     if (info().is_draining_ && entry.phase_ != run_phase::confirmed)
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -57,6 +57,8 @@
         bool may_arrive_late_ = false;
         /// The worker will not begin it any more; set at that moment.
         std::optional<instant> barred_at_;
+        /// When its gang was seen to be complete.
+        std::optional<instant> done_at_;
         std::optional<std::uint64_t> call_;
         instant next_try_{};
         instant started_at_{};
--- a/libs/replica/include/dandelioncrank/replica/replica.hpp
+++ b/libs/replica/include/dandelioncrank/replica/replica.hpp
@@ -125,6 +125,11 @@
         });
     }
 
+    bool promote_learner(const voter_name& who, instant now)
+    {
+        return change(now, [&] { return core_->promote_learner(who, now); });
+    }
+
     bool replace_voter(const voter_name& old, const voter_name& next,
                        const std::string& address, instant now)
     {
