pool: headroom for unused guarantees; no stall without looks

Change: work of priority 1 and 2 leaves 5 and 20 % of the unused guarantees free; progress counts only between looks that follow each other.

--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -139,6 +139,8 @@
     [[nodiscard]] bool may_evict(const unit& item, const victim& what) const;
     /// Whether the work lost is worth it.
     [[nodiscard]] bool pays_off(const unit& item, const choice& where) const;
+    /// Whether enough stays free for the guarantees that are not in use.
+    [[nodiscard]] bool leaves_headroom(const unit& item) const;
     void start(const unit& item, const choice& where);
     /// Keeps room for a unit that cannot start before its victims end.
     void reserve(const unit& item, const choice& where);
@@ -151,6 +153,8 @@
     /// Free accelerators by rack.
     std::map<std::string, std::int64_t> racks_;
     std::set<job_id> guaranteed_;
+    /// Accelerators that guarantees promise and nobody uses.
+    std::int64_t unused_guarantees_ = 0;
     std::vector<victim> victims_;
     std::vector<unit> units_;
     placement_plan plan_;
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -1,6 +1,7 @@
 #include "dandelioncrank/pool/placement_planner.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <tuple>
 
@@ -24,6 +25,11 @@
 // time to reclaim is for the stops.
 constexpr duration patience = 900ms;
 
+// Share of the unused guarantees that work without urgency leaves free, in
+// percent, by priority from 1 on: an urgent job that finds room begins a
+// stop's time earlier, and nothing is thrown away for it.
+constexpr std::array<std::int64_t, 2> headroom_percent = {5, 20};
+
 // Added to the rank of jobs that have nothing left to win.
 constexpr int worthless_rank = 100;
 
@@ -131,21 +137,20 @@
         if (job.queue_.priority_ == 0 && !job.is_final())
             by_team[job.team_].push_back(&job);
     }
-    for (auto& [team, jobs] : by_team) {
-        auto rule = state_.config().teams_.find(team);
-        if (rule == state_.config().teams_.end())
-            continue;
+    for (const auto& [team, rule] : state_.config().teams_) {
+        std::int64_t rest = rule.guaranteed_accelerators_;
+        std::vector<const job_record*>& jobs = by_team[team];
         std::sort(jobs.begin(), jobs.end(),
                   [](const job_record* a, const job_record* b) {
                       return std::tie(a->accepted_ms_, a->order_.id_) <
                              std::tie(b->accepted_ms_, b->order_.id_);
                   });
-        std::int64_t rest = rule->second.guaranteed_accelerators_;
         for (const job_record* job : jobs) {
             rest -= accelerators_of(*job);
             if (rest >= 0)
                 guaranteed_.insert(job->order_.id_);
         }
+        unused_guarantees_ += std::max<std::int64_t>(0, rest);
     }
 }
 
@@ -303,6 +308,8 @@
 
 void placement_planner::serve(const unit& item)
 {
+    if (!leaves_headroom(item))
+        return;
     if (auto where = place(item, false)) {
         start(item, *where);
         return;
@@ -325,6 +332,23 @@
     reserve(item, *where);
 }
 
+bool placement_planner::leaves_headroom(const unit& item) const
+{
+    int priority = item.job_->queue_.priority_;
+    if (priority <= 0)
+        return true;
+    auto level = std::min<std::size_t>(static_cast<std::size_t>(priority),
+                                       headroom_percent.size());
+    std::int64_t free = 0;
+    for (const auto& entry : racks_)
+        free += entry.second;
+    std::int64_t need = item.spec().need_.accelerators_ *
+                        static_cast<std::int64_t>(item.tasks_.size());
+    std::int64_t headroom =
+        unused_guarantees_ * headroom_percent[level - 1] / 100;
+    return need == 0 || free - need >= headroom;
+}
+
 bool placement_planner::pays_off(const unit& item, const choice& where) const
 {
     bool is_due = item.is_guaranteed_ && item.age_ >= patience;
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -20,6 +20,9 @@
 constexpr duration refusal_pause = 1s;
 // Ends that were proposed are proposed again if they are not committed.
 constexpr duration proposal_time = 400ms;
+// Looks at a busy worker follow each other within its longest wait; more than
+// this apart, some were lost.
+constexpr duration max_look_gap = 3s;
 // Time in which a member of a completed gang lists its end by itself.
 constexpr duration listing_time = 1s;
 // Pause before an idle worker is told which ends were noted: a new order
@@ -119,8 +122,10 @@
         bool lasting = state_.spec_of(run.task_).is_lasting_;
         // Without news of the worker nothing is known of its progress.
         bool known = entry.phase_ == run_phase::confirmed &&
-                     lost_calls_ == 0 && !entry.stop_requested_;
-        if (known && !lasting && now - entry.progress_at_ > timing_.stall_)
+                     lost_calls_ == 0 && !entry.stop_requested_ &&
+                     now - entry.listed_at_ < max_look_gap;
+        if (known && !lasting &&
+            entry.listed_at_ - entry.progress_at_ > timing_.stall_)
             result.push_back(run);
     }
     return result;
@@ -466,8 +471,12 @@
             continue;
         }
         run_entry& entry = found->second;
-        if (entry.phase_ != run_phase::confirmed || row.percent_ > entry.percent_)
+        // Without regular looks nothing is known of the time between.
+        bool was_watched = entry.phase_ == run_phase::confirmed &&
+                           now - entry.listed_at_ < max_look_gap;
+        if (!was_watched || row.percent_ > entry.percent_)
             entry.progress_at_ = now;
+        entry.listed_at_ = now;
         entry.phase_ = run_phase::confirmed;
         entry.percent_ = row.percent_;
     }
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -63,6 +63,8 @@
         instant next_try_{};
         instant started_at_{};
         int percent_ = 0;
+        /// When it was last listed, and when its progress last rose.
+        instant listed_at_{};
         instant progress_at_{};
     };
 
--- /dev/null
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -0,0 +1,138 @@
+#include "dandelioncrank/pool/pool_owner.hpp"
+#include "pool_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelioncrank;
+using namespace dandelioncrank::pool;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An owner of one worker whose calls the test answers by hand.
+class owner_fixture : public pool_fixture
+{
+  public:
+    owner_fixture() : pool_fixture(1), owner_(state_, owner_timing{})
+    {
+        owner_.begin(1, now_);
+        owner_.hear_worker(name_of(0), 1, clock(), now_);
+    }
+
+    std::int64_t clock() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   now_.time_since_epoch())
+            .count();
+    }
+
+    /// Lets time pass, commits what the owner wants committed, and returns
+    /// its calls.
+    std::vector<worker_call> pass(duration time)
+    {
+        now_ += time;
+        owner_.tick(now_, 0);
+        owner_output output = owner_.take_output();
+        for (const pool_command& item : output.observations_)
+            state_.apply(item);
+        for (const pool_command& item : output.starts_)
+            state_.apply(item);
+        if (!output.starts_.empty())
+            owner_.batch_settled();
+        return output.calls_;
+    }
+
+    void answer(const worker_call& call, call_answer said = {})
+    {
+        said.clock_ms_ = clock();
+        said.life_ = 1;
+        owner_.take_result(call.id_, said, now_);
+    }
+
+    void lose(const worker_call& call)
+    {
+        owner_.take_result(call.id_, call_lost{false}, now_);
+    }
+
+    template <class Call>
+    static std::vector<worker_call> only(const std::vector<worker_call>& calls)
+    {
+        std::vector<worker_call> result;
+        for (const worker_call& call : calls) {
+            if (std::holds_alternative<Call>(call.what_))
+                result.push_back(call);
+        }
+        return result;
+    }
+
+    instant now_{std::chrono::hours(1)};
+    pool_owner owner_;
+};
+
+} // namespace
+
+TEST_CASE("an order leaves only after its run is committed", "[pool_owner]")
+{
+    owner_fixture pool;
+    pool.submit("a", {pool_fixture::make_step(1, 1, false)});
+    CHECK(owner_fixture::only<start_call>(pool.pass(10ms)).empty());
+    CHECK(owner_fixture::only<start_call>(pool.pass(10ms)).size() == 1);
+}
+
+// A late order may still be carried out after a refusal of its repetition.
+TEST_CASE("a run that may arrive late is barred before it starts elsewhere",
+          "[pool_owner]")
+{
+    owner_fixture pool;
+    job_id id = pool.submit("a", {pool_fixture::make_step(1, 1, false)});
+    pool.pass(10ms);
+    auto first = owner_fixture::only<start_call>(pool.pass(10ms));
+    REQUIRE(first.size() == 1);
+    pool.now_ += 400ms;
+    pool.lose(first[0]);
+    auto second = owner_fixture::only<start_call>(pool.pass(200ms));
+    REQUIRE(second.size() == 1);
+    call_answer refusal;
+    refusal.verdict_ = call_verdict::no_room;
+    pool.answer(second[0], refusal);
+    std::vector<worker_call> calls = pool.pass(10ms);
+    // The run is not over: it is stopped, and only then given up.
+    CHECK(owner_fixture::only<stop_call>(calls).size() == 1);
+    CHECK(
+        pool.state_.find_job(id)->occurrences_[0].steps_[0].tasks_[0].worker_ ==
+        pool_fixture::name_of(0));
+}
+
+// arreola-rol scale-1, seed 138801810: after a cut of the core the first
+// answers found progress that was old, and whole gangs were stopped for it.
+TEST_CASE("a run that was not looked at for long does not stand still",
+          "[pool_owner]")
+{
+    owner_fixture pool;
+    job_id id = pool.submit("a", {pool_fixture::make_step(1, 1, false)});
+    pool.pass(10ms);
+    std::vector<worker_call> calls = pool.pass(10ms);
+    auto start = owner_fixture::only<start_call>(calls);
+    auto hold = owner_fixture::only<hold_call>(calls);
+    REQUIRE(start.size() == 1);
+    REQUIRE(hold.size() == 1);
+    pool.answer(start[0]);
+    run_ref run{{id, 0, 0, 0}, 1};
+    call_answer listing;
+    listing.running_ = {{run, {}, 40}};
+    pool.answer(hold[0], listing);
+    // The looks of five seconds are lost.
+    for (int i = 0; i < 50; ++i) {
+        for (const worker_call& call : pool.pass(100ms))
+            pool.lose(call);
+    }
+    std::vector<worker_call> stops;
+    for (int i = 0; i < 10; ++i) {
+        std::vector<worker_call> later = pool.pass(100ms);
+        for (const worker_call& call : owner_fixture::only<hold_call>(later))
+            pool.answer(call, listing);
+        for (const worker_call& call : owner_fixture::only<stop_call>(later))
+            stops.push_back(call);
+    }
+    CHECK(stops.empty());
+}
