--- a/libs/control/include/dandelioncrank/control/client_call.hpp
+++ b/libs/control/include/dandelioncrank/control/client_call.hpp
@@ -30,11 +30,14 @@
     /// Of a submit; without one, fault_ tells why.
     std::optional<pool::job_order> order_;
     std::string fault_;
+    /// An earlier attempt at this call may have been carried out.
+    bool is_repeat_ = false;
 
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(request_, verb_, host_, path_, key_, order_, fault_);
+        archive(request_, verb_, host_, path_, key_, order_, fault_,
+                is_repeat_);
     }
 };
 
@@ -77,4 +80,9 @@
     }
 };
 
+/// What a client may be told. After an attempt that may have been carried
+/// out a refusal proves nothing: the configuration may have changed between.
+[[nodiscard]] client_answer settle_answer(const client_call& call,
+                                          client_answer answer);
+
 } // namespace dandelioncrank::control
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -58,8 +58,7 @@
     [[nodiscard]] std::string describe() const;
 
   private:
-    using command_handler =
-        std::function<void(proposal_end, pool::pool_reply)>;
+    using command_handler = std::function<void(proposal_end, pool::pool_reply)>;
     using client_handler = std::function<void(client_answer)>;
 
     struct queued_command
@@ -71,8 +70,7 @@
     // Messages of other daemons.
     void take_message(const QByteArray& bytes, const peer_server::reply& reply);
     void handle(const hello& item, const peer_server::reply& reply);
-    void handle(const consensus_message& item,
-                const peer_server::reply& reply);
+    void handle(const consensus_message& item, const peer_server::reply& reply);
     void handle(const client_call& item, const peer_server::reply& reply);
     void greet_others(instant now);
 
@@ -145,9 +143,9 @@
       metrics_(metrics), peers_(settings.internal_address_.to_text())
 {
     add_seeds(settings_.seeds_);
-    bool is_seed = std::find(settings_.seeds_.begin(), settings_.seeds_.end(),
-                             settings_.control_address_) !=
-                   settings_.seeds_.end();
+    bool is_seed =
+        std::find(settings_.seeds_.begin(), settings_.seeds_.end(),
+                  settings_.control_address_) != settings_.seeds_.end();
     const std::string& self = peers_.self();
     std::uint64_t random = QRandomGenerator::global()->generate64();
     replica_origin origin;
@@ -158,8 +156,8 @@
         for (const std::string& other : peers_.control_hosts())
             origin.members_.voters_.insert(make_identity(other, "0"));
     } else {
-        origin.identity_ = make_identity(
-            self, QString::number(random, 16).toStdString());
+        origin.identity_ =
+            make_identity(self, QString::number(random, 16).toStdString());
     }
     instant now = steady_now();
     replica_ = std::make_unique<replica<pool_machine>>(
@@ -185,8 +183,8 @@
 
 // --- Messages of other daemons
 
-void control_host::implementation::take_message(
-    const QByteArray& bytes, const peer_server::reply& reply)
+void control_host::implementation::take_message(const QByteArray& bytes,
+                                                const peer_server::reply& reply)
 {
     control_message message;
     try {
@@ -237,9 +235,8 @@
 void control_host::implementation::handle(const client_call& item,
                                           const peer_server::reply& reply)
 {
-    serve_client(item, [reply](const client_answer& answer) {
-        reply(to_wire(answer));
-    });
+    serve_client(
+        item, [reply](const client_answer& answer) { reply(to_wire(answer)); });
 }
 
 void control_host::implementation::greet_others(instant now)
@@ -251,14 +248,14 @@
     greeted_others_at_ = now;
     hello message{peers_.self(), replica_->status().self_, settings_.zone_};
     for (const std::string& address : peers_.control_hosts()) {
-        peers_.ask<hello_answer>(
-            address, message, hello_limit,
-            [this](std::optional<hello_answer> answer) {
-                if (!answer)
-                    return;
-                for (const std::string& other : answer->control_hosts_)
-                    peers_.add_control_host(other);
-            });
+        peers_.ask<hello_answer>(address, message, hello_limit,
+                                 [this](std::optional<hello_answer> answer) {
+                                     if (!answer)
+                                         return;
+                                     for (const std::string& other :
+                                          answer->control_hosts_)
+                                         peers_.add_control_host(other);
+                                 });
     }
 }
 
@@ -268,8 +265,7 @@
     // The internal port is the same on every host.
     for (const host_port& seed : seeds)
         peers_.add_control_host(
-            host_port{seed.host_, settings_.internal_address_.port_}
-                .to_text());
+            host_port{seed.host_, settings_.internal_address_.port_}.to_text());
 }
 
 std::string control_host::implementation::leader_address() const
@@ -323,6 +319,14 @@
         finish_client(call, answer, on_answer);
         return;
     }
+    // The first attempt of a submit counts, even if its key is gone by now.
+    bool was_stored = call.is_repeat_ && call.order_ &&
+                      state().find_job(call.order_->id_) != nullptr;
+    if (was_stored) {
+        answer.kind_ = client_outcome_kind::done;
+        finish_client(call, answer, on_answer);
+        return;
+    }
     const pool::queue_route* route = config.find_route(call.host_, call.path_);
     if (route == nullptr) {
         answer.kind_ = client_outcome_kind::unknown_route;
@@ -349,7 +353,8 @@
     }
     job_id id(call.path_.substr(route->prefix_.size()));
     const pool::job_record* job = state().find_job(id);
-    bool is_theirs = job != nullptr && job->queue_.name_ == route->policy_.name_;
+    bool is_theirs =
+        job != nullptr && job->queue_.name_ == route->policy_.name_;
     if (!is_theirs) {
         answer.kind_ = client_outcome_kind::unknown_job;
         finish_client(call, answer, on_answer);
@@ -423,8 +428,8 @@
     const client_handler& on_answer)
 {
     metrics_.count("client_calls_" + to_text(call.verb_));
-    bool changes = call.verb_ == client_verb::submit ||
-                   call.verb_ == client_verb::cancel;
+    bool changes =
+        call.verb_ == client_verb::submit || call.verb_ == client_verb::cancel;
     if (changes || answer.kind_ != client_outcome_kind::done)
         log_.event("Client call " + to_text(answer.kind_) + ".",
                    {{"request", call.request_},
@@ -447,11 +452,11 @@
         on_answer(elsewhere());
         return;
     }
-    control_answer done{control_outcome::done,
-                        settings_.control_address_.to_text(),
-                        {}};
+    control_answer done{
+        control_outcome::done, settings_.control_address_.to_text(), {}};
     auto& [life, last] = sequences_[info.name_];
-    bool is_late = info.life_ < life || (info.life_ == life && sequence <= last);
+    bool is_late =
+        info.life_ < life || (info.life_ == life && sequence <= last);
     if (is_late) {
         on_answer(done);
         return;
@@ -469,19 +474,17 @@
                 {"life", std::to_string(info.life_)},
                 {"address", info.address_},
                 {"draining", info.is_draining_ ? "yes" : "no"}});
-    enqueue(pool::put_worker{info},
-            [this, info, clock_ms, done, on_answer](proposal_end end,
-                                                    pool::pool_reply) {
-                if (end != proposal_end::committed) {
-                    sequences_.erase(info.name_);
-                    on_answer(elsewhere());
-                    return;
-                }
-                run_owner();
-                owner_->hear_worker(info.name_, info.life_, clock_ms,
-                                    steady_now());
-                on_answer(done);
-            });
+    enqueue(pool::put_worker{info}, [this, info, clock_ms, done, on_answer](
+                                        proposal_end end, pool::pool_reply) {
+        if (end != proposal_end::committed) {
+            sequences_.erase(info.name_);
+            on_answer(elsewhere());
+            return;
+        }
+        run_owner();
+        owner_->hear_worker(info.name_, info.life_, clock_ms, steady_now());
+        on_answer(done);
+    });
 }
 
 void control_host::implementation::remove_worker(const worker_name& worker,
@@ -495,8 +498,8 @@
     auto found = state().workers().find(worker);
     if (life == 0 && found != state().workers().end())
         life = found->second.info_.life_;
-    log_.event("Worker leaves.", {{"worker", worker.str()},
-                                  {"life", std::to_string(life)}});
+    log_.event("Worker leaves.",
+               {{"worker", worker.str()}, {"life", std::to_string(life)}});
     enqueue(pool::end_life{worker, life},
             [this, on_answer](proposal_end end, pool::pool_reply) {
                 on_answer(end == proposal_end::committed
@@ -513,24 +516,21 @@
         return;
     }
     std::uint64_t version = config.version_;
-    enqueue(pool::put_config{config},
-            [this, version, on_answer](proposal_end end,
-                                       pool::pool_reply reply) {
-                bool committed = end == proposal_end::committed;
-                std::string outcome = "unsure";
-                if (committed)
-                    outcome = reply == pool::pool_reply::applied
-                                  ? "in force"
-                                  : "not newer";
-                log_.event("Configuration was sent.",
-                           {{"version", std::to_string(version)},
-                            {"outcome", outcome},
-                            {"held",
-                             std::to_string(state().config().version_)}});
-                on_answer(committed
-                              ? control_answer{control_outcome::done, {}, {}}
-                              : elsewhere());
-            });
+    enqueue(
+        pool::put_config{config},
+        [this, version, on_answer](proposal_end end, pool::pool_reply reply) {
+            bool committed = end == proposal_end::committed;
+            std::string outcome = "unsure";
+            if (committed)
+                outcome = reply == pool::pool_reply::applied ? "in force"
+                                                             : "not newer";
+            log_.event("Configuration was sent.",
+                       {{"version", std::to_string(version)},
+                        {"outcome", outcome},
+                        {"held", std::to_string(state().config().version_)}});
+            on_answer(committed ? control_answer{control_outcome::done, {}, {}}
+                                : elsewhere());
+        });
 }
 
 void control_host::implementation::read_config(answer_handler on_answer)
@@ -613,8 +613,8 @@
                 metrics_.time("commit", steady_now() - sent_at);
             for (std::size_t i = 0; i < batch->size(); ++i) {
                 const queued_command& item = (*batch)[i];
-                auto reply = replies ? replies->at(i)
-                                     : pool::pool_reply::rejected;
+                auto reply =
+                    replies ? replies->at(i) : pool::pool_reply::rejected;
                 if (item.on_answer_)
                     item.on_answer_(end, reply);
             }
@@ -650,11 +650,11 @@
             return;
         owned_term_ = replica_->status().term_;
         owner_->begin(owned_term_, steady_now());
-        log_.event("The pool is taken over.",
-                   {{"term", std::to_string(owned_term_)},
-                    {"workers", std::to_string(state().workers().size())},
-                    {"active_jobs",
-                     std::to_string(state().active_jobs().size())}});
+        log_.event(
+            "The pool is taken over.",
+            {{"term", std::to_string(owned_term_)},
+             {"workers", std::to_string(state().workers().size())},
+             {"active_jobs", std::to_string(state().active_jobs().size())}});
     });
 }
 
@@ -728,8 +728,8 @@
         overloaded{[&](const add_learner_step& item) {
                        log_.event("A control host joins.",
                                   {{"member", item.who_.str()}});
-                       return replica_->add_learner(
-                           item.who_, address_of(item.who_), now);
+                       return replica_->add_learner(item.who_,
+                                                    address_of(item.who_), now);
                    },
                    [&](const promote_step& item) {
                        log_.event("A learner is to vote.",
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -61,12 +61,12 @@
     return {"DANDELIONCRANK",
             {"host", "zone", "internal_address", "control_address",
              "client_address", "ready_address", "metrics_address", "seeds",
-             "data_dir", "bootstrap", "tolerated_hosts", "stop_time", "longest_lease",
-             "announce_interval", "body_kib", "log_level"}};
+             "data_dir", "bootstrap", "tolerated_hosts", "stop_time",
+             "longest_lease", "announce_interval", "body_kib", "log_level"}};
 }
 
-duration in_range(const std::string& name, absl::Duration value,
-                  duration least, duration most, findings& faults)
+duration in_range(const std::string& name, absl::Duration value, duration least,
+                  duration most, findings& faults)
 {
     duration result(absl::ToInt64Microseconds(value));
     if (result >= least && result <= most)
@@ -140,8 +140,7 @@
 
 } // namespace
 
-control_settings_result read_control_settings(const std::string& file,
-                                              int argc,
+control_settings_result read_control_settings(const std::string& file, int argc,
                                               const char* const* argv)
 {
     control_settings_result result;
@@ -168,12 +167,13 @@
         "longest_lease", absl::GetFlag(FLAGS_longest_lease), 2s, 1h, faults);
     timing.lease_ = timing.longest_lease_ * lease_percent / 100;
     timing.silence_ =
-        missed_announcements *
-        in_range("announce_interval", absl::GetFlag(FLAGS_announce_interval),
-                 100ms, 1min, faults);
+        missed_announcements * in_range("announce_interval",
+                                        absl::GetFlag(FLAGS_announce_interval),
+                                        100ms, 1min, faults);
     int body_kib = absl::GetFlag(FLAGS_body_kib);
     if (body_kib < 1 || body_kib > 64 * 1024)
-        faults.add({"--body_kib"}, std::to_string(body_kib) + " is out of range",
+        faults.add({"--body_kib"},
+                   std::to_string(body_kib) + " is out of range",
                    "write 1 to 65536");
     settings.limits_.body_bytes_ = static_cast<std::size_t>(body_kib) * 1024;
     int tolerated = absl::GetFlag(FLAGS_tolerated_hosts);
--- a/libs/control/src/entry_host.cpp
+++ b/libs/control/src/entry_host.cpp
@@ -51,8 +51,6 @@
         instant began_at_;
         instant deadline_;
         answer_handler on_answer_;
-        /// An earlier attempt may have been carried out.
-        bool in_doubt_ = false;
     };
 
     void look_for_leader();
@@ -63,7 +61,7 @@
                      const std::string& from,
                      const std::optional<client_answer>& answer);
     void retry(const std::shared_ptr<attempt>& item);
-    void finish(attempt& item, const client_answer& answer);
+    void finish(attempt& item, const client_answer& said);
     void set_leader(const std::string& address);
 
     part_log log_{"entry"};
@@ -95,8 +93,7 @@
 {
     for (const host_port& seed : seeds)
         peers_.add_control_host(
-            host_port{seed.host_, settings_.internal_address_.port_}
-                .to_text());
+            host_port{seed.host_, settings_.internal_address_.port_}.to_text());
 }
 
 bool entry_host::implementation::is_ready() const
@@ -188,10 +185,9 @@
     instant now = steady_now();
     bool is_over = now >= item->deadline_;
     bool has_waited = now - item->began_at_ >= leader_wait;
-    if (is_over || (leader_.empty() && has_waited && !item->in_doubt_)) {
+    if (is_over || (leader_.empty() && has_waited && !item->call_.is_repeat_)) {
         client_answer answer;
-        answer.kind_ = item->in_doubt_ ? client_outcome_kind::unsure
-                                       : client_outcome_kind::unavailable;
+        answer.kind_ = client_outcome_kind::unavailable;
         bool is_long = now - leader_heard_at_ > long_loss + fresh_time;
         answer.retry_after_ = is_long ? long_retry : short_retry;
         finish(*item, answer);
@@ -216,14 +212,14 @@
 {
     if (!answer) {
         // No answer may hide a commit.
-        item->in_doubt_ = true;
+        item->call_.is_repeat_ = true;
         if (from == leader_)
             set_leader({});
         retry(item);
         return;
     }
     if (answer->kind_ == client_outcome_kind::unsure) {
-        item->in_doubt_ = true;
+        item->call_.is_repeat_ = true;
         retry(item);
         return;
     }
@@ -244,8 +240,9 @@
 }
 
 void entry_host::implementation::finish(attempt& item,
-                                        const client_answer& answer)
+                                        const client_answer& said)
 {
+    client_answer answer = settle_answer(item.call_, said);
     duration taken = steady_now() - item.began_at_;
     metrics_.count("client_answers_" + to_text(answer.kind_));
     metrics_.time("client_call", taken);
@@ -258,7 +255,7 @@
                     {"path", item.call_.path_},
                     {"leader", leader_},
                     {"ms", std::to_string(to_milliseconds(taken))},
-                    {"in_doubt", item.in_doubt_ ? "yes" : "no"}});
+                    {"in_doubt", item.call_.is_repeat_ ? "yes" : "no"}});
     item.on_answer_(answer);
 }
 
--- a/libs/control/src/member_planner.cpp
+++ b/libs/control/src/member_planner.cpp
@@ -17,8 +17,7 @@
 bool is_silent(const member_view& view, const voter_name& who, duration limit)
 {
     auto heard = view.heard_at_.find(who);
-    return heard != view.heard_at_.end() &&
-           view.now_ - heard->second > limit;
+    return heard != view.heard_at_.end() && view.now_ - heard->second > limit;
 }
 
 bool is_present(const member_view& view, const voter_name& who)
@@ -98,8 +97,8 @@
     const membership& members = view.members_;
     if (members.replacement_) {
         const voter_name& next = members.replacement_->new_;
-        bool is_hopeless = successor_of(view, next) ||
-                           is_silent(view, next, give_up_time);
+        bool is_hopeless =
+            successor_of(view, next) || is_silent(view, next, give_up_time);
         if (!members.voters_.contains(next) && is_hopeless)
             return remove_member_step{next};
         return std::nullopt;
--- a/libs/control/test/member_planner_test.cpp
+++ b/libs/control/test/member_planner_test.cpp
@@ -96,8 +96,7 @@
     CHECK(!next_member_step(group.view_));
 }
 
-TEST_CASE("a voter keeps its vote through a cut of seconds",
-          "[member_planner]")
+TEST_CASE("a voter keeps its vote through a cut of seconds", "[member_planner]")
 {
     group_fixture group;
     group.add_voter("a:1", "x");
--- a/libs/logging/src/part_log.cpp
+++ b/libs/logging/src/part_log.cpp
@@ -38,14 +38,12 @@
 
 } // namespace
 
-void start_logging(const std::string& host, log_level lowest,
-                   log_stream stream)
+void start_logging(const std::string& host, log_level lowest, log_stream stream)
 {
     // The initializer must outlive every thread that logs.
     static log4cplus::Initializer initializer;
-    log4cplus::SharedAppenderPtr console(
-        new log4cplus::ConsoleAppender(
-            stream == log_stream::standard_error, true));
+    log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(
+        stream == log_stream::standard_error, true));
     console->setLayout(std::make_unique<log4cplus::PatternLayout>(
         "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p " + host + " %c: %m%n"));
     auto root = log4cplus::Logger::getRoot();
--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -130,9 +130,9 @@
     void serve(const unit& item);
     [[nodiscard]] std::optional<choice> place(const unit& item,
                                               bool may_evict) const;
-    [[nodiscard]] std::optional<choice>
-    place_within(const unit& item, const std::string& rack,
-                 bool may_evict) const;
+    [[nodiscard]] std::optional<choice> place_within(const unit& item,
+                                                     const std::string& rack,
+                                                     bool may_evict) const;
     [[nodiscard]] bool rack_can_hold(const unit& item,
                                      const std::string& rack) const;
     [[nodiscard]] bool is_eligible(const unit& item, const room& where) const;
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -97,11 +97,10 @@
     survey_guarantees();
     survey_victims();
     collect_units();
-    std::stable_sort(units_.begin(), units_.end(),
-                     [](const unit& a, const unit& b) {
-                         return std::tie(a.rank_, a.work_) <
-                                std::tie(b.rank_, b.work_);
-                     });
+    std::stable_sort(
+        units_.begin(), units_.end(), [](const unit& a, const unit& b) {
+            return std::tie(a.rank_, a.work_) < std::tie(b.rank_, b.work_);
+        });
     for (const unit& item : units_)
         serve(item);
     return std::move(plan_);
@@ -113,8 +112,7 @@
 {
     for (const auto& [name, failures] : view_.usable_) {
         auto found = state_.workers().find(name);
-        if (found == state_.workers().end() ||
-            found->second.info_.is_draining_)
+        if (found == state_.workers().end() || found->second.info_.is_draining_)
             continue;
         room item{&found->second, found->second.info_.capacity_, {}, {}};
         for (const run_ref& run : state_.runs_on(name)) {
@@ -157,8 +155,7 @@
 bool placement_planner::is_ending(const run_ref& run) const
 {
     auto seen = view_.runs_.find(run);
-    bool is_stopping =
-        seen != view_.runs_.end() && seen->second.is_stopping_;
+    bool is_stopping = seen != view_.runs_.end() && seen->second.is_stopping_;
     return is_stopping || !state_.is_wanted(run);
 }
 
@@ -316,8 +313,8 @@
     }
     // Work that goes first only for its priority, yet waits behind others as
     // it has nothing left to win, would lose the room to them again.
-    bool goes_first = item.job_->queue_.priority_ == 0 &&
-                      item.rank_ < worthless_rank;
+    bool goes_first =
+        item.job_->queue_.priority_ == 0 && item.rank_ < worthless_rank;
     if (!goes_first)
         return;
     auto where = place(item, true);
@@ -387,8 +384,7 @@
         resources left = where.worker_->info_.capacity_;
         std::size_t here = 0;
         while (here < item.tasks_.size() && spec.need_.fits_into(left) &&
-               (spec.per_worker_limit_ == 0 ||
-                here < spec.per_worker_limit_)) {
+               (spec.per_worker_limit_ == 0 || here < spec.per_worker_limit_)) {
             left -= spec.need_;
             ++here;
         }
@@ -443,8 +439,7 @@
     };
     std::map<worker_name, candidate> candidates;
     for (const auto& [name, where] : rooms_) {
-        bool in_rack =
-            rack.empty() || where.worker_->info_.rack_.str() == rack;
+        bool in_rack = rack.empty() || where.worker_->info_.rack_.str() == rack;
         if (!in_rack || !is_eligible(item, where))
             continue;
         candidate entry{&where, where.free_, 0, view_.usable_.at(name)};
@@ -530,17 +525,19 @@
     // Among racks of equal cost the fullest one is taken.
     for (const auto& [name, entry] : candidates) {
         constexpr double tie_weight = 1e-6;
-        result.cost_ +=
-            tie_weight * static_cast<double>(std::max<std::int64_t>(
-                             0, entry.free_.accelerators_));
+        result.cost_ += tie_weight * static_cast<double>(std::max<std::int64_t>(
+                                         0, entry.free_.accelerators_));
     }
     return result;
 }
 
 void placement_planner::start(const unit& item, const choice& where)
 {
-    start_run order{item.job_->order_.id_, item.occurrence_, item.step_,
-                    item.next_run_, {}};
+    start_run order{item.job_->order_.id_,
+                    item.occurrence_,
+                    item.step_,
+                    item.next_run_,
+                    {}};
     for (std::size_t n = 0; n < item.tasks_.size(); ++n) {
         const worker_name& name = where.workers_[n];
         order.places_.push_back(
@@ -574,10 +571,10 @@
     const resources& need = item.spec().need_;
     for (const worker_name& name : where.workers_) {
         room& taken = rooms_.at(name);
-        resources later{std::min(need.cpu_, taken.pending_.cpu_),
-                        std::min(need.memory_mb_, taken.pending_.memory_mb_),
-                        std::min(need.accelerators_,
-                                 taken.pending_.accelerators_)};
+        resources later{
+            std::min(need.cpu_, taken.pending_.cpu_),
+            std::min(need.memory_mb_, taken.pending_.memory_mb_),
+            std::min(need.accelerators_, taken.pending_.accelerators_)};
         taken.pending_ -= later;
         resources now = need;
         now -= later;
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -161,9 +161,9 @@
     for (auto& [session, run] : stalled) {
         session->request_stop(run);
         session->note_trouble(run.task_.job_, now);
-        output_.events_.push_back({run.task_.job_.str(),
-                                   "run " + to_text(run) +
-                                       " makes no progress and is stopped"});
+        output_.events_.push_back(
+            {run.task_.job_.str(),
+             "run " + to_text(run) + " makes no progress and is stopped"});
     }
 }
 
@@ -192,9 +192,9 @@
         auto [found, is_new] = accepted_at_.try_emplace(id, now);
         if (!is_new)
             continue;
-        std::int64_t age =
-            std::clamp<std::int64_t>(wall_ms - state_.find_job(id)->accepted_ms_,
-                                     0, max_inherited_age_ms);
+        std::int64_t age = std::clamp<std::int64_t>(
+            wall_ms - state_.find_job(id)->accepted_ms_, 0,
+            max_inherited_age_ms);
         found->second = now - std::chrono::milliseconds(age);
     }
     view.accepted_at_ = accepted_at_;
@@ -211,25 +211,25 @@
     for (const auto& [step, rack] : result.cleared_racks_) {
         auto before = cleared_racks_.find(step);
         if (before == cleared_racks_.end() || before->second != rack)
-            output_.events_.push_back({std::get<0>(step).str(),
-                                       "rack " + rack +
-                                           " is cleared for the job"});
+            output_.events_.push_back(
+                {std::get<0>(step).str(),
+                 "rack " + rack + " is cleared for the job"});
     }
     cleared_racks_ = std::move(result.cleared_racks_);
     for (const stop_order& order : result.stops_) {
         for (auto& item : sessions_)
             item.second->request_stop(order.run_);
         output_.events_.push_back(
-            {order.run_.task_.job_.str(),
-             "run " + to_text(order.run_) + " gives way to job " +
-                 order.for_job_.str()});
+            {order.run_.task_.job_.str(), "run " + to_text(order.run_) +
+                                              " gives way to job " +
+                                              order.for_job_.str()});
     }
     for (start_run& order : result.starts_) {
         output_.events_.push_back(
-            {order.job_.str(),
-             "run " + std::to_string(order.run_) + " of step " +
-                 std::to_string(order.step_) + " is placed, tasks " +
-                 std::to_string(order.places_.size())});
+            {order.job_.str(), "run " + std::to_string(order.run_) +
+                                   " of step " + std::to_string(order.step_) +
+                                   " is placed, tasks " +
+                                   std::to_string(order.places_.size())});
         output_.starts_.push_back(std::move(order));
     }
     batch_under_way_ = !output_.starts_.empty();
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -174,8 +174,8 @@
         if (!usable || place.index_ >= step.tasks_.size())
             return false;
         const task_record& task = step.tasks_[place.index_];
-        bool waits = !task.is_done_ && task.worker_.empty() &&
-                     command.run_ > task.run_;
+        bool waits =
+            !task.is_done_ && task.worker_.empty() && command.run_ > task.run_;
         if (!waits)
             return false;
         std::uint32_t here = ++on_worker[place.worker_];
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -18,6 +18,8 @@
 // A worker that refused an order for want of room, or as unhealthy, is
 // left alone for so long.
 constexpr duration refusal_pause = 1s;
+// A worker's announcement brings its clock; without one it is asked.
+constexpr duration clock_wait = 50ms;
 // Ends that were proposed are proposed again if they are not committed.
 constexpr duration proposal_time = 400ms;
 // Looks at a busy worker follow each other within its longest wait; more than
@@ -31,22 +33,18 @@
 
 } // namespace
 
-pool_owner::worker_session::worker_session(const pool_state& state,
-                                           const owner_timing& timing,
-                                           worker_name worker,
-                                           std::int64_t life,
-                                           std::uint64_t term, instant now,
-                                           bool is_inherited)
+pool_owner::worker_session::worker_session(
+    const pool_state& state, const owner_timing& timing, worker_name worker,
+    std::int64_t life, std::uint64_t term, instant now, bool is_inherited)
     : state_(state), timing_(timing), worker_(std::move(worker)), life_(life),
-      term_(term), heard_at_(now)
+      term_(term), begun_at_(now), heard_at_(now)
 {
-    auto longest = std::chrono::duration_cast<duration>(
-        timing_.longest_lease_ * clock_drift);
+    auto longest = std::chrono::duration_cast<duration>(timing_.longest_lease_ *
+                                                        clock_drift);
     lease_end_ = now + longest + lease_margin;
     for (const run_ref& run : state_.runs_on(worker_)) {
         run_entry entry;
-        entry.phase_ =
-            is_inherited ? run_phase::inherited : run_phase::unsent;
+        entry.phase_ = is_inherited ? run_phase::inherited : run_phase::unsent;
         entry.may_arrive_late_ = is_inherited;
         entry.started_at_ = now;
         entry.progress_at_ = now;
@@ -68,15 +66,15 @@
 
 std::int64_t pool_owner::worker_session::clock_at(instant now) const
 {
-    auto passed = std::chrono::floor<std::chrono::milliseconds>(
-        now - clock_read_at_);
+    auto passed =
+        std::chrono::floor<std::chrono::milliseconds>(now - clock_read_at_);
     return *clock_ms_ + passed.count();
 }
 
 std::int64_t pool_owner::worker_session::grant_lease(instant now)
 {
-    auto longest = std::chrono::duration_cast<duration>(
-        timing_.lease_ * clock_drift);
+    auto longest =
+        std::chrono::duration_cast<duration>(timing_.lease_ * clock_drift);
     lease_end_ = std::max(lease_end_, now + longest + lease_margin);
     auto lease = std::chrono::floor<std::chrono::milliseconds>(timing_.lease_);
     return clock_at(now) + lease.count();
@@ -114,15 +112,14 @@
                     entry.stop_requested_ || entry.barred_at_.has_value()};
 }
 
-std::vector<run_ref>
-pool_owner::worker_session::stalled(instant now) const
+std::vector<run_ref> pool_owner::worker_session::stalled(instant now) const
 {
     std::vector<run_ref> result;
     for (const auto& [run, entry] : runs_) {
         bool lasting = state_.spec_of(run.task_).is_lasting_;
         // Without news of the worker nothing is known of its progress.
-        bool known = entry.phase_ == run_phase::confirmed &&
-                     lost_calls_ == 0 && !entry.stop_requested_ &&
+        bool known = entry.phase_ == run_phase::confirmed && lost_calls_ == 0 &&
+                     !entry.stop_requested_ &&
                      now - entry.listed_at_ < max_look_gap;
         if (known && !lasting &&
             entry.listed_at_ - entry.progress_at_ > timing_.stall_)
@@ -148,8 +145,7 @@
 
 // --- What is due
 
-void pool_owner::worker_session::advance(instant now,
-                                         std::uint64_t& next_call,
+void pool_owner::worker_session::advance(instant now, std::uint64_t& next_call,
                                          owner_output& out)
 {
     conclude_lapsed(now, out);
@@ -177,8 +173,7 @@
 }
 
 // Once the last lease is surely over, everything on the worker has ended.
-void pool_owner::worker_session::conclude_lapsed(instant now,
-                                                 owner_output& out)
+void pool_owner::worker_session::conclude_lapsed(instant now, owner_output& out)
 {
     if (now <= lease_end_)
         return;
@@ -194,9 +189,9 @@
                                           owner_output& out)
 {
     out.observations_.push_back(conclude_run{worker_, life_, run, end});
-    out.events_.push_back({run.task_.job_.str(),
-                           "run " + to_text(run) + " on " + worker_.str() +
-                               " is over: " + to_text(end)});
+    out.events_.push_back(
+        {run.task_.job_.str(), "run " + to_text(run) + " on " + worker_.str() +
+                                   " is over: " + to_text(end)});
 }
 
 void pool_owner::worker_session::advance_run(const run_ref& run,
@@ -235,8 +230,8 @@
     if (!wanted || !to_send || !clock_ms_)
         return;
     entry.phase_ = run_phase::unconfirmed;
-    start_call order{run, job.order_.payload_,
-                     state_.saved_progress(run.task_), grant_lease(now)};
+    start_call order{run, job.order_.payload_, state_.saved_progress(run.task_),
+                     grant_lease(now)};
     entry.call_ =
         send(std::move(order), timing_.call_time_, now, next_call, out);
 }
@@ -246,12 +241,15 @@
                                               owner_output& out)
 {
     std::uint64_t noted = state_.workers().at(worker_).noted_ends_;
-    bool has_runs = std::any_of(
-        runs_.begin(), runs_.end(), [](const auto& item) {
+    bool has_runs =
+        std::any_of(runs_.begin(), runs_.end(), [](const auto& item) {
             return item.second.phase_ != run_phase::unsent;
         });
     bool must_tell = noted > cursor_told_;
-    if (now < next_hold_ || (!has_runs && !must_tell && !hold_again_))
+    // Without the worker's clock no order can be given.
+    bool needs_clock = !clock_ms_ && now - begun_at_ > clock_wait;
+    bool is_due = has_runs || must_tell || hold_again_ || needs_clock;
+    if (now < next_hold_ || !is_due)
         return;
     // Ends under way to the log are told as noted with the next hold.
     bool is_committing =
@@ -280,8 +278,8 @@
 {
     std::uint64_t id = next_call++;
     calls_.emplace(id, open_call{what, now});
-    out.calls_.push_back({id, worker_, life_, info().address_, term_,
-                          std::move(what), limit});
+    out.calls_.push_back(
+        {id, worker_, life_, info().address_, term_, std::move(what), limit});
     return id;
 }
 
@@ -331,14 +329,13 @@
                                   take_stop(item, now);
                           },
                           [&](const hold_call& item) {
-                              take_hold(item, answer, call.sent_at_, now,
-                                        out);
+                              take_hold(item, answer, call.sent_at_, now, out);
                           }},
                call.what_);
 }
 
-void pool_owner::worker_session::take_lost(const open_call& call,
-                                           bool not_sent, instant now)
+void pool_owner::worker_session::take_lost(const open_call& call, bool not_sent,
+                                           instant now)
 {
     ++lost_calls_;
     auto pause = timing_.retry_time_ * std::min(lost_calls_, 4);
@@ -390,10 +387,10 @@
     default:
         break;
     }
-    out.events_.push_back({call.run_.task_.job_.str(),
-                           "run " + to_text(call.run_) + " was refused by " +
-                               worker_.str() + ": " +
-                               to_text(answer.verdict_)});
+    out.events_.push_back(
+        {call.run_.task_.job_.str(), "run " + to_text(call.run_) +
+                                         " was refused by " + worker_.str() +
+                                         ": " + to_text(answer.verdict_)});
     avoid_until_ = now + refusal_pause;
     if (answer.verdict_ == call_verdict::unhealthy)
         note_trouble(call.run_.task_.job_, now);
@@ -446,8 +443,8 @@
             note_trouble(item.run_.task_.job_, now);
         out.events_.push_back({item.run_.task_.job_.str(),
                                "run " + to_text(item.run_) + " on " +
-                                   worker_.str() + " has ended: " +
-                                   to_text(item.end_)});
+                                   worker_.str() +
+                                   " has ended: " + to_text(item.end_)});
     }
     if (!batch.ends_.empty()) {
         proposed_at_ = now;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -21,8 +21,8 @@
     /// Takes over which runs the state holds for this worker.
     void follow_state(instant now);
     void hear(std::int64_t clock_ms, instant now);
-    void take_result(std::uint64_t call, const call_result& result,
-                     instant now, owner_output& out);
+    void take_result(std::uint64_t call, const call_result& result, instant now,
+                     owner_output& out);
     /// Sends what is due.
     void advance(instant now, std::uint64_t& next_call, owner_output& out);
     /// Stops a run that gives way to another.
@@ -76,8 +76,7 @@
 
     void advance_run(const run_ref& run, run_entry& entry, instant now,
                      std::uint64_t& next_call, owner_output& out);
-    void advance_hold(instant now, std::uint64_t& next_call,
-                      owner_output& out);
+    void advance_hold(instant now, std::uint64_t& next_call, owner_output& out);
     void conclude_lapsed(instant now, owner_output& out);
     std::uint64_t send(std::variant<start_call, stop_call, hold_call> what,
                        duration limit, instant now, std::uint64_t& next_call,
@@ -100,6 +99,7 @@
     worker_name worker_;
     std::int64_t life_;
     std::uint64_t term_;
+    instant begun_at_;
     std::optional<std::int64_t> clock_ms_;
     instant clock_read_at_{};
     /// No lease of this worker lasts longer, by this host's clock.
--- a/libs/pool/test/pool_fixture.hpp
+++ b/libs/pool/test/pool_fixture.hpp
@@ -73,8 +73,7 @@
     void guarantee(const std::string& team, std::int64_t accelerators)
     {
         config_.version_ += 1;
-        config_.teams_[team_name(team)].guaranteed_accelerators_ =
-            accelerators;
+        config_.teams_[team_name(team)].guaranteed_accelerators_ = accelerators;
         state_.apply(put_config{config_});
     }
 
@@ -90,9 +89,9 @@
         for (const start_run& order : result.starts_) {
             state_.apply(order);
             for (const task_place& place : order.places_) {
-                run_ref run{{order.job_, order.occurrence_, order.step_,
-                             place.index_},
-                            order.run_};
+                run_ref run{
+                    {order.job_, order.occurrence_, order.step_, place.index_},
+                    order.run_};
                 view_.runs_[run] = {view_.now_, 0, false};
             }
         }
--- a/libs/replica/include/dandelioncrank/replica/replica.hpp
+++ b/libs/replica/include/dandelioncrank/replica/replica.hpp
@@ -63,8 +63,8 @@
                   std::to_string(start.entries_.size()) + " entries after " +
                   std::to_string(start.snapshot_.index_) + ".");
         applied_ = start.snapshot_.index_;
-        core_ = std::make_unique<consensus_core>(
-            std::move(start), consensus_timing{}, seed, now);
+        core_ = std::make_unique<consensus_core>(std::move(start),
+                                                 consensus_timing{}, seed, now);
         drain(now);
     }
 
@@ -120,9 +120,8 @@
     bool add_learner(const voter_name& who, const std::string& address,
                      instant now)
     {
-        return change(now, [&] {
-            return core_->add_learner(who, address, now);
-        });
+        return change(now,
+                      [&] { return core_->add_learner(who, address, now); });
     }
 
     bool promote_learner(const voter_name& who, instant now)
@@ -133,9 +132,8 @@
     bool replace_voter(const voter_name& old, const voter_name& next,
                        const std::string& address, instant now)
     {
-        return change(now, [&] {
-            return core_->replace_voter(old, next, address, now);
-        });
+        return change(
+            now, [&] { return core_->replace_voter(old, next, address, now); });
     }
 
     bool remove_member(const voter_name& who, instant now)
@@ -233,8 +231,7 @@
     void report_role()
     {
         replica_status status = core_->status();
-        auto seen =
-            std::tuple(status.role_, status.term_, status.leader_);
+        auto seen = std::tuple(status.role_, status.term_, status.leader_);
         if (seen == last_seen_)
             return;
         last_seen_ = seen;
--- a/libs/settings/src/settings_reader.cpp
+++ b/libs/settings/src/settings_reader.cpp
@@ -63,8 +63,7 @@
     }
 }
 
-void settings_reader::read_file(const std::string& path,
-                                findings& faults) const
+void settings_reader::read_file(const std::string& path, findings& faults) const
 {
     std::ifstream stream(path);
     if (!stream) {
