--- a/libs/control/src/entry_host.cpp
+++ b/libs/control/src/entry_host.cpp
@@ -71,7 +71,6 @@
     std::string leader_;
     instant leader_heard_at_{};
     bool is_configured_ = false;
-    std::size_t next_host_ = 0;
     QObject context_;
     QTimer timer_;
 };
--- a/libs/logging/src/part_log.cpp
+++ b/libs/logging/src/part_log.cpp
@@ -1,5 +1,7 @@
 #include "dandelioncrank/logging/part_log.hpp"
 
+#include "bounded_appender.hpp"
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -9,10 +11,17 @@
 
 #include <memory>
 
+#include <unistd.h>
+
 namespace dandelioncrank {
 
 namespace {
 
+// Lines a second that a daemon writes at most, and how many may come at once:
+// some ten for each change of a busy pool.
+constexpr double lines_per_second = 1000;
+constexpr double burst_lines = 4000;
+
 log4cplus::LogLevel to_library_level(log_level level)
 {
     switch (level) {
@@ -42,8 +51,12 @@
 {
     // The initializer must outlive every thread that logs.
     static log4cplus::Initializer initializer;
-    log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(
-        stream == log_stream::standard_error, true));
+    log4cplus::SharedAppenderPtr console;
+    if (stream == log_stream::standard_output)
+        console =
+            new bounded_appender(STDOUT_FILENO, lines_per_second, burst_lines);
+    else
+        console = new log4cplus::ConsoleAppender(true, true);
     console->setLayout(std::make_unique<log4cplus::PatternLayout>(
         "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p " + host + " %c: %m%n"));
     auto root = log4cplus::Logger::getRoot();
--- a/libs/metrics/src/metric_registry.cpp
+++ b/libs/metrics/src/metric_registry.cpp
@@ -6,6 +6,7 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 
 #include <array>
 #include <sstream>
@@ -22,12 +23,24 @@
     double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
                        acc::tag::extended_p_square>>;
 
+// Upper bounds of the histogram's buckets, in seconds: from one exchange in a
+// rack to the longest wait of a client.
+constexpr std::array<double, 12> bucket_bounds = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0};
+
+auto make_buckets()
+{
+    return boost::histogram::make_histogram(boost::histogram::axis::variable<>(
+        bucket_bounds.begin(), bucket_bounds.end()));
+}
+
 } // namespace
 
 struct metric_registry::timing
 {
     accumulator values_{acc::tag::extended_p_square::probabilities =
                             percentiles};
+    decltype(make_buckets()) buckets_ = make_buckets();
 };
 
 metric_registry::metric_registry() = default;
@@ -48,7 +61,9 @@
     std::unique_ptr<timing>& slot = timings_[name];
     if (!slot)
         slot = std::make_unique<timing>();
-    slot->values_(std::chrono::duration<double>(value).count());
+    double seconds = std::chrono::duration<double>(value).count();
+    slot->values_(seconds);
+    slot->buckets_(seconds);
 }
 
 std::uint64_t metric_registry::counter(const std::string& name) const
@@ -71,6 +86,15 @@
             out << full << "{quantile=\"" << percentiles[i] << "\"} "
                 << marks[i] << '\n';
         }
+        // Buckets of the exposition format are cumulative.
+        double below = 0;
+        for (std::size_t i = 0; i < bucket_bounds.size(); ++i) {
+            below += item->buckets_.at(static_cast<int>(i) - 1);
+            out << full << "_bucket{le=\"" << bucket_bounds[i] << "\"} "
+                << below << '\n';
+        }
+        out << full << "_bucket{le=\"+Inf\"} " << acc::count(item->values_)
+            << '\n';
         out << full << "_sum " << acc::sum(item->values_) << '\n';
         out << full << "_count " << acc::count(item->values_) << '\n';
         out << full << "_max " << acc::max(item->values_) << '\n';
--- a/libs/metrics/test/metric_registry_test.cpp
+++ b/libs/metrics/test/metric_registry_test.cpp
@@ -18,3 +18,21 @@
     CHECK(text.find("dandelioncrank_wait_seconds_count 100\n") != text.npos);
     CHECK(text.find("dandelioncrank_wait_seconds_max 0.1\n") != text.npos);
 }
+
+TEST_CASE("timings fill the buckets of a cumulative histogram", "[metrics]")
+{
+    metric_registry metrics;
+    metrics.time("commit", std::chrono::milliseconds(3));
+    metrics.time("commit", std::chrono::milliseconds(15));
+    metrics.time("commit", std::chrono::seconds(9));
+    std::string text = metrics.to_text();
+    auto has = [&text](const std::string& line) {
+        return text.find("dandelioncrank_commit_seconds_bucket{le=\"" + line) !=
+               std::string::npos;
+    };
+    CHECK(has("0.002\"} 0\n"));
+    CHECK(has("0.005\"} 1\n"));
+    CHECK(has("0.02\"} 2\n"));
+    CHECK(has("5\"} 2\n"));
+    CHECK(has("+Inf\"} 3\n"));
+}
