node: the voter of named hosts runs on the same replica as the pool's

Cause: libs/replica was written from consensus_host and the logic stood twice. Change: consensus_host keeps identities and answers; storing, sending, applying, waiting and expiring are replica's. Ruled out: a base class (the machine is the only thing that differs, so it is a template parameter).

--- a/libs/node/src/consensus_host.hpp
+++ b/libs/node/src/consensus_host.hpp
@@ -1,20 +1,39 @@
 #pragma once
 
-#include "dandelioncrank/consensus/consensus_core.hpp"
-#include "dandelioncrank/logging/part_log.hpp"
 #include "dandelioncrank/node/node_settings.hpp"
+#include "dandelioncrank/replica/replica.hpp"
 #include "dandelioncrank/state/replicated_state.hpp"
-#include "dandelioncrank/storage/voter_storage.hpp"
 #include "peer_directory.hpp"
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace dandelioncrank {
 
-/// Runs this host's replica: its core, its disk and its copy of the state.
+/// The replicated state as the machine of a replica; a command is a
+/// state_command.
+class state_machine
+{
+  public:
+    using reply = state_reply;
+
+    reply apply(const QByteArray& command)
+    {
+        return state_.apply(from_wire<state_command>(command));
+    }
+
+    [[nodiscard]] QByteArray snapshot() const { return state_.snapshot(); }
+    void restore(const QByteArray& bytes) { state_.restore(bytes); }
+
+    [[nodiscard]] const replicated_state& state() const { return state_; }
+
+  private:
+    replicated_state state_;
+};
+
+/// Runs this host's replica of the state; its members are named in the
+/// settings.
 class consensus_host
 {
   public:
@@ -37,13 +56,19 @@
                        const std::string& address, instant now);
     void hand_over(instant now);
 
-    [[nodiscard]] const replicated_state& state() const { return *state_; }
+    [[nodiscard]] const replicated_state& state() const
+    {
+        return replica_->machine().state();
+    }
     [[nodiscard]] replica_status status() const;
-    [[nodiscard]] log_index applied() const { return applied_; }
+    [[nodiscard]] log_index applied() const { return replica_->applied(); }
     [[nodiscard]] host_name leader() const;
-    [[nodiscard]] bool is_leader() const;
+    [[nodiscard]] bool is_leader() const { return replica_->is_leader(); }
     /// Why this voter has stopped; empty while it works.
-    [[nodiscard]] const std::string& failure() const { return failure_; }
+    [[nodiscard]] const std::string& failure() const
+    {
+        return replica_->failure();
+    }
 
     /// Called after each change of the state.
     std::function<void()> on_applied_;
@@ -51,31 +76,7 @@
     [[nodiscard]] static host_name host_of(const voter_name& voter);
 
   private:
-    struct waiting
-    {
-        term_number term_ = 0;
-        instant deadline_;
-        answer_handler on_answer_;
-    };
-
-    voter_name choose_identity(bool first) const;
-    void drain(instant now);
-    void drain_once(consensus_output output, instant now);
-    void apply(const log_entry& entry);
-    void expire(instant now);
-    void fail(const std::string& reason);
-
-    part_log log_{"voter"};
-    const node_settings& settings_;
-    peer_directory& peers_;
-    std::unique_ptr<voter_storage> storage_;
-    std::unique_ptr<consensus_core> core_;
-    std::unique_ptr<replicated_state> state_;
-    log_index applied_ = 0;
-    std::map<log_index, waiting> waiting_;
-    std::string failure_;
-    replica_role last_role_ = replica_role::follower;
-    bool draining_ = false;
+    std::unique_ptr<replica<state_machine>> replica_;
 };
 
 } // namespace dandelioncrank
