--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -22,6 +22,9 @@
 using namespace std::chrono_literals;
 
 constexpr auto tick_time = 20ms;
+// Pause between two flushes: calls and observations that come within it share
+// one entry of the log, one sync and one round of messages to every member.
+constexpr auto flush_pause = 6ms;
 // Pause between two turns of the pool's owner: each looks at every worker.
 constexpr auto owner_pause = 8ms;
 constexpr duration member_review_time = 100ms;
@@ -130,6 +133,7 @@
     std::vector<queued_command> commands_;
     std::vector<std::function<void(bool)>> reads_;
     bool flush_scheduled_ = false;
+    instant flushed_at_{};
     instant members_reviewed_at_{};
     instant greeted_others_at_{};
     QObject context_;
@@ -567,20 +571,20 @@
     schedule_flush();
 }
 
-// Everything that one turn of the event loop brings shares one entry of the
-// log, one sync of the disk and one round of the group.
 void control_host::implementation::schedule_flush()
 {
     if (flush_scheduled_)
         return;
     flush_scheduled_ = true;
-    QMetaObject::invokeMethod(
-        &context_, [this] { flush(); }, Qt::QueuedConnection);
+    auto pause = std::chrono::ceil<std::chrono::milliseconds>(
+        time_left(steady_now(), flushed_at_ + flush_pause));
+    QTimer::singleShot(pause, Qt::PreciseTimer, &context_, [this] { flush(); });
 }
 
 void control_host::implementation::flush()
 {
     flush_scheduled_ = false;
+    flushed_at_ = steady_now();
     schedule_owner();
     flush_reads();
     flush_commands();
@@ -784,7 +788,7 @@
     greet_others(now);
     review_members(now);
     take_over();
-    flush();
+    schedule_flush();
     if (!on_stopped_)
         return;
     if (leads())
