--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -22,8 +22,9 @@
 using namespace std::chrono_literals;
 
 constexpr auto tick_time = 20ms;
-// Pause between two flushes: calls and observations that come within it share
-// one entry of the log, one sync and one round of messages to every member.
+// Pause between two flushes while a commit is under way: calls and
+// observations that come within it share one entry of the log, one sync and
+// one round of messages to every member.
 constexpr auto flush_pause = 6ms;
 // Pause between two turns of the pool's owner: each looks at every worker.
 constexpr auto owner_pause = 8ms;
@@ -134,6 +135,7 @@
     std::vector<std::function<void(bool)>> reads_;
     bool flush_scheduled_ = false;
     instant flushed_at_{};
+    int open_commits_ = 0;
     instant members_reviewed_at_{};
     instant greeted_others_at_{};
     QObject context_;
@@ -576,8 +578,10 @@
     if (flush_scheduled_)
         return;
     flush_scheduled_ = true;
-    auto pause = std::chrono::ceil<std::chrono::milliseconds>(
-        time_left(steady_now(), flushed_at_ + flush_pause));
+    std::chrono::milliseconds pause{};
+    if (open_commits_ > 0)
+        pause = std::chrono::ceil<std::chrono::milliseconds>(
+            time_left(steady_now(), flushed_at_ + flush_pause));
     QTimer::singleShot(pause, Qt::PreciseTimer, &context_, [this] { flush(); });
 }
 
@@ -613,11 +617,13 @@
     for (const queued_command& item : *batch)
         entry.push_back(item.command_);
     metrics_.count("commits");
+    ++open_commits_;
     instant sent_at = steady_now();
     replica_->propose(
         to_wire(entry), sent_at,
         [this, batch, sent_at](proposal_end end,
                                std::optional<pool_machine::reply> replies) {
+            --open_commits_;
             if (end == proposal_end::committed)
                 metrics_.time("commit", steady_now() - sent_at);
             for (std::size_t i = 0; i < batch->size(); ++i) {
