control: the log's queue and clients' calls in files of their own

Change: group_log (commands and reads on their way through the log) and client_service (calls on the leader). Ruled out: a class for members (member_planner decides already).

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -1,11 +1,12 @@
 #include "dandelioncrank/control/control_host.hpp"
 
+#include "client_service.hpp"
 #include "dandelioncrank/control/member_planner.hpp"
 #include "dandelioncrank/core/overloaded.hpp"
 #include "dandelioncrank/peer/peer_server.hpp"
 #include "dandelioncrank/replica/replica.hpp"
+#include "group_log.hpp"
 #include "peer_book.hpp"
-#include "pool_machine.hpp"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -22,10 +23,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto tick_time = 20ms;
-// Pause between two flushes while a commit is under way: calls and
-// observations that come within it share one entry of the log, one sync and
-// one round of messages to every member.
-constexpr auto flush_pause = 6ms;
 // Pause between two turns of the pool's owner: each looks at every worker.
 constexpr auto owner_pause = 8ms;
 constexpr duration member_review_time = 100ms;
@@ -33,8 +30,6 @@
 constexpr duration hello_time = 400ms;
 constexpr duration lost_hello_time = 100ms;
 constexpr duration hello_limit = 400ms;
-// When a client should come back that came while no host could commit.
-constexpr duration retry_time = 1s;
 // How long a planned stop waits for another host to lead.
 constexpr duration hand_over_time = 1500ms;
 
@@ -64,15 +59,6 @@
     [[nodiscard]] std::string describe() const;
 
   private:
-    using command_handler = std::function<void(proposal_end, pool::pool_reply)>;
-    using client_handler = std::function<void(client_answer)>;
-
-    struct queued_command
-    {
-        pool::pool_command command_;
-        command_handler on_answer_;
-    };
-
     // Messages of other daemons.
     void take_message(const QByteArray& bytes, const peer_server::reply& reply);
     void handle(const hello& item, const peer_server::reply& reply);
@@ -80,25 +66,6 @@
     void handle(const client_call& item, const peer_server::reply& reply);
     void greet_others(instant now);
 
-    // Clients' calls, on the leader.
-    void serve_client(const client_call& call, client_handler on_answer);
-    void serve_confirmed(const client_call& call,
-                         const client_handler& on_answer);
-    void submit(const client_call& call, const pool::queue_route& route,
-                const team_name& team, const client_handler& on_answer);
-    void cancel(const client_call& call, const client_handler& on_answer);
-    [[nodiscard]] client_answer show(const pool::job_record& job) const;
-    void finish_client(const client_call& call, const client_answer& answer,
-                       const client_handler& on_answer);
-
-    // The log.
-    void enqueue(pool::pool_command command, command_handler on_answer);
-    void flush_commands();
-    void confirm(std::function<void(bool)> on_answer);
-    void flush_reads();
-    void schedule_flush();
-    void flush();
-
     // Owning the pool.
     void role_changed();
     void take_over();
@@ -123,6 +90,8 @@
     metric_registry& metrics_;
     peer_book peers_;
     std::unique_ptr<replica<pool_machine>> replica_;
+    std::unique_ptr<group_log> group_;
+    std::unique_ptr<client_service> clients_;
     std::unique_ptr<pool::pool_owner> owner_;
     std::uint64_t owned_term_ = 0;
     bool taking_over_ = false;
@@ -131,11 +100,6 @@
     std::map<worker_name, std::pair<std::int64_t, std::uint64_t>> sequences_;
     std::map<voter_name, instant> greeted_at_;
     std::map<std::string, zone_name> zones_;
-    std::vector<queued_command> commands_;
-    std::vector<std::function<void(bool)>> reads_;
-    bool flush_scheduled_ = false;
-    instant flushed_at_{};
-    int open_commits_ = 0;
     instant members_reviewed_at_{};
     instant greeted_others_at_{};
     QObject context_;
@@ -176,11 +140,14 @@
         [this](const consensus_message& message) {
             peers_.post(address_of(message.to_), message);
         });
+    group_ = std::make_unique<group_log>(*replica_, metrics_);
+    group_->on_flush_ = [this] { schedule_owner(); };
+    clients_ = std::make_unique<client_service>(*replica_, *group_, metrics_);
     owner_ = std::make_unique<pool::pool_owner>(state(), settings_.timing_);
     replica_->on_role_changed_ = [this] { role_changed(); };
     replica_->on_applied_ = [this] {
         owner_->state_changed();
-        schedule_flush();
+        group_->schedule_flush();
     };
     server_ = std::make_unique<peer_server>(
         settings_.internal_address_,
@@ -240,13 +207,13 @@
     // Any answer will do; the message's own answer is a message again.
     reply(to_wire(hello_answer{}));
     replica_->receive(item, steady_now());
-    schedule_flush();
+    group_->schedule_flush();
 }
 
 void control_host::implementation::handle(const client_call& item,
                                           const peer_server::reply& reply)
 {
-    serve_client(
+    clients_->serve(
         item, [reply](const client_answer& answer) { reply(to_wire(answer)); });
 }
 
@@ -296,163 +263,6 @@
     return {control_outcome::elsewhere, address.to_text(), {}};
 }
 
-// --- Clients
-
-void control_host::implementation::serve_client(const client_call& call,
-                                                client_handler on_answer)
-{
-    if (!leads()) {
-        client_answer answer;
-        answer.kind_ = client_outcome_kind::not_leader;
-        answer.leader_ = leader_address();
-        on_answer(answer);
-        return;
-    }
-    confirm([this, call, on_answer](bool granted) {
-        if (granted) {
-            serve_confirmed(call, on_answer);
-            return;
-        }
-        client_answer answer;
-        answer.kind_ = client_outcome_kind::not_leader;
-        finish_client(call, answer, on_answer);
-    });
-}
-
-void control_host::implementation::serve_confirmed(
-    const client_call& call, const client_handler& on_answer)
-{
-    client_answer answer;
-    const pool::pool_config& config = state().config();
-    if (config.version_ == 0) {
-        answer.kind_ = client_outcome_kind::unavailable;
-        answer.retry_after_ = retry_time;
-        finish_client(call, answer, on_answer);
-        return;
-    }
-    // The first attempt of a submit counts, even if its key is gone by now.
-    bool was_stored = call.is_repeat_ && call.order_ &&
-                      state().find_job(call.order_->id_) != nullptr;
-    if (was_stored) {
-        answer.kind_ = client_outcome_kind::done;
-        finish_client(call, answer, on_answer);
-        return;
-    }
-    const pool::queue_route* route = config.find_route(call.host_, call.path_);
-    if (route == nullptr) {
-        answer.kind_ = client_outcome_kind::unknown_route;
-        finish_client(call, answer, on_answer);
-        return;
-    }
-    auto team = config.find_team(call.key_);
-    if (!team && !route->is_public_) {
-        answer.kind_ = client_outcome_kind::unknown_key;
-        finish_client(call, answer, on_answer);
-        return;
-    }
-    if (call.verb_ == client_verb::count_waiting) {
-        bool is_queue = call.path_ == route->prefix_;
-        answer.kind_ = is_queue ? client_outcome_kind::done
-                                : client_outcome_kind::unknown_job;
-        answer.waiting_jobs_ = state().waiting_jobs(route->policy_.name_);
-        finish_client(call, answer, on_answer);
-        return;
-    }
-    if (call.verb_ == client_verb::submit) {
-        submit(call, *route, team.value_or(team_name()), on_answer);
-        return;
-    }
-    job_id id(call.path_.substr(route->prefix_.size()));
-    const pool::job_record* job = state().find_job(id);
-    bool is_theirs =
-        job != nullptr && job->queue_.name_ == route->policy_.name_;
-    if (!is_theirs) {
-        answer.kind_ = client_outcome_kind::unknown_job;
-        finish_client(call, answer, on_answer);
-        return;
-    }
-    if (call.verb_ == client_verb::cancel)
-        cancel(call, on_answer);
-    else
-        finish_client(call, show(*job), on_answer);
-}
-
-client_answer
-control_host::implementation::show(const pool::job_record& job) const
-{
-    client_answer answer;
-    answer.kind_ = client_outcome_kind::done;
-    answer.has_begun_ = job.has_begun_;
-    answer.phase_ = job.phase_;
-    return answer;
-}
-
-void control_host::implementation::submit(const client_call& call,
-                                          const pool::queue_route& route,
-                                          const team_name& team,
-                                          const client_handler& on_answer)
-{
-    client_answer answer;
-    answer.kind_ = client_outcome_kind::done;
-    if (call.order_ && state().find_job(call.order_->id_) != nullptr) {
-        finish_client(call, answer, on_answer);
-        return;
-    }
-    if (!call.order_) {
-        answer.kind_ = client_outcome_kind::invalid;
-        answer.fault_ = call.fault_;
-        finish_client(call, answer, on_answer);
-        return;
-    }
-    pool::accept_job command{*call.order_, route.policy_, team,
-                             wall_milliseconds()};
-    enqueue(std::move(command),
-            [this, call, on_answer](proposal_end end, pool::pool_reply) {
-                client_answer answer;
-                answer.kind_ = client_outcome_kind::done;
-                if (end == proposal_end::not_taken)
-                    answer.kind_ = client_outcome_kind::not_leader;
-                else if (end == proposal_end::unsure)
-                    answer.kind_ = client_outcome_kind::unsure;
-                finish_client(call, answer, on_answer);
-            });
-}
-
-void control_host::implementation::cancel(const client_call& call,
-                                          const client_handler& on_answer)
-{
-    const pool::queue_route* route =
-        state().config().find_route(call.host_, call.path_);
-    job_id id(call.path_.substr(route->prefix_.size()));
-    enqueue(pool::cancel_job{id},
-            [this, call, on_answer](proposal_end end, pool::pool_reply) {
-                client_answer answer;
-                answer.kind_ = client_outcome_kind::done;
-                if (end != proposal_end::committed)
-                    answer.kind_ = client_outcome_kind::unsure;
-                finish_client(call, answer, on_answer);
-            });
-}
-
-void control_host::implementation::finish_client(
-    const client_call& call, const client_answer& answer,
-    const client_handler& on_answer)
-{
-    metrics_.count("client_calls_" + to_text(call.verb_));
-    bool changes =
-        call.verb_ == client_verb::submit || call.verb_ == client_verb::cancel;
-    if (changes || answer.kind_ != client_outcome_kind::done)
-        log_.event("Client call " + to_text(answer.kind_) + ".",
-                   {{"request", call.request_},
-                    {"verb", to_text(call.verb_)},
-                    {"path", call.path_},
-                    {"config", std::to_string(state().config().version_)},
-                    {"term", std::to_string(replica_->status().term_)},
-                    {"applied", std::to_string(replica_->applied())},
-                    {"fault", answer.fault_}});
-    on_answer(answer);
-}
-
 // --- Workers and operators
 
 void control_host::implementation::announce_worker(
@@ -485,8 +295,9 @@
                 {"life", std::to_string(info.life_)},
                 {"address", info.address_},
                 {"draining", info.is_draining_ ? "yes" : "no"}});
-    enqueue(pool::put_worker{info}, [this, info, clock_ms, done, on_answer](
-                                        proposal_end end, pool::pool_reply) {
+    group_->enqueue(pool::put_worker{info}, [this, info, clock_ms, done,
+                                             on_answer](proposal_end end,
+                                                        pool::pool_reply) {
         if (end != proposal_end::committed) {
             sequences_.erase(info.name_);
             on_answer(elsewhere());
@@ -511,12 +322,13 @@
         life = found->second.info_.life_;
     log_.event("Worker leaves.",
                {{"worker", worker.str()}, {"life", std::to_string(life)}});
-    enqueue(pool::end_life{worker, life},
-            [this, on_answer](proposal_end end, pool::pool_reply) {
-                on_answer(end == proposal_end::committed
-                              ? control_answer{control_outcome::done, {}, {}}
-                              : elsewhere());
-            });
+    group_->enqueue(pool::end_life{worker, life},
+                    [this, on_answer](proposal_end end, pool::pool_reply) {
+                        on_answer(
+                            end == proposal_end::committed
+                                ? control_answer{control_outcome::done, {}, {}}
+                                : elsewhere());
+                    });
 }
 
 void control_host::implementation::put_config(const pool::pool_config& config,
@@ -527,7 +339,7 @@
         return;
     }
     std::uint64_t version = config.version_;
-    enqueue(
+    group_->enqueue(
         pool::put_config{config},
         [this, version, on_answer](proposal_end end, pool::pool_reply reply) {
             bool committed = end == proposal_end::committed;
@@ -550,7 +362,7 @@
         on_answer(elsewhere());
         return;
     }
-    confirm([this, on_answer](bool granted) {
+    group_->confirm([this, on_answer](bool granted) {
         if (granted)
             on_answer({control_outcome::done, {}, state().config().text_});
         else
@@ -558,84 +370,6 @@
     });
 }
 
-// --- The log
-
-void control_host::implementation::enqueue(pool::pool_command command,
-                                           command_handler on_answer)
-{
-    commands_.push_back({std::move(command), std::move(on_answer)});
-    schedule_flush();
-}
-
-void control_host::implementation::confirm(std::function<void(bool)> on_answer)
-{
-    reads_.push_back(std::move(on_answer));
-    schedule_flush();
-}
-
-void control_host::implementation::schedule_flush()
-{
-    if (flush_scheduled_)
-        return;
-    flush_scheduled_ = true;
-    std::chrono::milliseconds pause{};
-    if (open_commits_ > 0)
-        pause = std::chrono::ceil<std::chrono::milliseconds>(
-            time_left(steady_now(), flushed_at_ + flush_pause));
-    QTimer::singleShot(pause, Qt::PreciseTimer, &context_, [this] { flush(); });
-}
-
-void control_host::implementation::flush()
-{
-    flush_scheduled_ = false;
-    flushed_at_ = steady_now();
-    schedule_owner();
-    flush_reads();
-    flush_commands();
-}
-
-void control_host::implementation::flush_reads()
-{
-    if (reads_.empty())
-        return;
-    // Shared by the answers of all calls of this turn.
-    auto batch = std::make_shared<std::vector<std::function<void(bool)>>>(
-        std::exchange(reads_, {}));
-    replica_->read(steady_now(), [batch](bool granted) {
-        for (const auto& handler : *batch)
-            handler(granted);
-    });
-}
-
-void control_host::implementation::flush_commands()
-{
-    if (commands_.empty())
-        return;
-    auto batch = std::make_shared<std::vector<queued_command>>(
-        std::exchange(commands_, {}));
-    pool::pool_batch entry;
-    for (const queued_command& item : *batch)
-        entry.push_back(item.command_);
-    metrics_.count("commits");
-    ++open_commits_;
-    instant sent_at = steady_now();
-    replica_->propose(
-        to_wire(entry), sent_at,
-        [this, batch, sent_at](proposal_end end,
-                               std::optional<pool_machine::reply> replies) {
-            --open_commits_;
-            if (end == proposal_end::committed)
-                metrics_.time("commit", steady_now() - sent_at);
-            for (std::size_t i = 0; i < batch->size(); ++i) {
-                const queued_command& item = (*batch)[i];
-                auto reply =
-                    replies ? replies->at(i) : pool::pool_reply::rejected;
-                if (item.on_answer_)
-                    item.on_answer_(end, reply);
-            }
-        });
-}
-
 // --- Owning the pool
 
 void control_host::implementation::role_changed()
@@ -648,7 +382,7 @@
         owner_->end();
         owned_term_ = 0;
     }
-    schedule_flush();
+    group_->schedule_flush();
 }
 
 // The pool is taken over once this term has committed an entry: only then
@@ -659,7 +393,7 @@
     if (!leads() || owned_term_ != 0 || taking_over_)
         return;
     taking_over_ = true;
-    confirm([this](bool granted) {
+    group_->confirm([this](bool granted) {
         taking_over_ = false;
         if (!granted || !leads() || owned_term_ != 0)
             return;
@@ -710,22 +444,22 @@
             if (owned_term_ != term)
                 return;
             owner_->take_result(id, result, steady_now());
-            schedule_flush();
+            group_->schedule_flush();
         });
     }
     for (pool::pool_command& item : output.observations_)
-        enqueue(std::move(item), nullptr);
+        group_->enqueue(std::move(item), nullptr);
     if (output.starts_.empty())
         return;
     std::uint64_t term = owned_term_;
     for (std::size_t i = 0; i < output.starts_.size(); ++i) {
         bool is_last = i + 1 == output.starts_.size();
-        enqueue(std::move(output.starts_[i]),
-                [this, term, is_last](proposal_end, pool::pool_reply) {
-                    if (is_last && owned_term_ == term)
-                        owner_->batch_settled();
-                    schedule_flush();
-                });
+        group_->enqueue(std::move(output.starts_[i]),
+                        [this, term, is_last](proposal_end, pool::pool_reply) {
+                            if (is_last && owned_term_ == term)
+                                owner_->batch_settled();
+                            group_->schedule_flush();
+                        });
     }
 }
 
@@ -794,7 +528,7 @@
     greet_others(now);
     review_members(now);
     take_over();
-    schedule_flush();
+    group_->schedule_flush();
     if (!on_stopped_)
         return;
     if (leads())
--- /dev/null
+++ b/libs/control/src/group_log.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "dandelioncrank/metrics/metric_registry.hpp"
+#include "dandelioncrank/replica/replica.hpp"
+#include "pool_machine.hpp"
+
+#include <QObject>
+
+#include <functional>
+#include <vector>
+
+namespace dandelioncrank::control {
+
+/// Commands and reads of one control host on their way through the group's
+/// log. What comes close together shares one entry and one round.
+class group_log
+{
+  public:
+    using command_handler = std::function<void(proposal_end, pool::pool_reply)>;
+    using read_handler = std::function<void(bool granted)>;
+
+    group_log(replica<pool_machine>& replica, metric_registry& metrics)
+        : replica_(replica), metrics_(metrics)
+    {
+    }
+
+    /// Has a command committed; the handler may be empty.
+    void enqueue(pool::pool_command command, command_handler on_answer);
+    /// Answers once the state holds everything committed before this call.
+    void confirm(read_handler on_answer);
+    /// Flushes soon, also if nothing is queued.
+    void schedule_flush();
+
+    /// Called before each flush; may enqueue more.
+    std::function<void()> on_flush_;
+
+  private:
+    struct queued_command
+    {
+        pool::pool_command command_;
+        command_handler on_answer_;
+    };
+
+    void flush();
+    void flush_reads();
+    void flush_commands();
+
+    replica<pool_machine>& replica_;
+    metric_registry& metrics_;
+    std::vector<queued_command> commands_;
+    std::vector<read_handler> reads_;
+    bool flush_scheduled_ = false;
+    instant flushed_at_{};
+    int open_commits_ = 0;
+    /// Ends pending timers with this object.
+    QObject context_;
+};
+
+} // namespace dandelioncrank::control
