pool: a draining worker stays so; a life that ended is not announced back

Cause: found by reading: after a change of owner the sequence of announcements is unknown, and one held up from before could take a worker's draining back (DRAIN) or bring a dead worker back, whose orders then hang for a lease. Ruled out: the sequence alone (it is not replicated). Change: the state itself keeps draining within a life and the last ended life of each worker.

--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -147,7 +147,7 @@
     void fields(Archive& archive)
     {
         std::vector<job_id> finished(finished_.begin(), finished_.end());
-        archive(config_, jobs_, workers_, finished);
+        archive(config_, jobs_, workers_, finished, ended_lives_);
         finished_.assign(finished.begin(), finished.end());
     }
 
@@ -174,6 +174,8 @@
     std::map<job_id, job_record> jobs_;
     std::map<worker_name, worker_record> workers_;
     std::deque<job_id> finished_;
+    /// The last life that has ended of each worker.
+    std::map<worker_name, std::int64_t> ended_lives_;
 
     // Derived from the above.
     std::set<job_id> active_;
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -11,6 +11,9 @@
 // Finished jobs that stay known: two days at 19,000 a day.
 constexpr std::size_t max_finished_jobs = 38000;
 
+// Workers whose last ended life stays known: a day's restarts at 22,000.
+constexpr std::size_t max_ended_lives = 8192;
+
 occurrence_record make_occurrence(const job_order& order)
 {
     occurrence_record result;
@@ -109,13 +112,22 @@
 
 pool_reply pool_state::handle(const put_worker& command)
 {
-    const worker_info& info = command.info_;
+    worker_info info = command.info_;
+    // Announcements may be held up and come after the end of their sender.
+    auto ended = ended_lives_.find(info.name_);
+    if (ended != ended_lives_.end() && info.life_ <= ended->second)
+        return pool_reply::rejected;
     auto found = workers_.find(info.name_);
     if (found != workers_.end()) {
-        if (info.life_ < found->second.info_.life_)
+        const worker_info& known = found->second.info_;
+        if (info.life_ < known.life_)
             return pool_reply::rejected;
-        if (info.life_ > found->second.info_.life_)
-            handle(end_life{info.name_, found->second.info_.life_});
+        // A life that drains does not come back; it only may seem to, by an
+        // announcement from before.
+        if (info.life_ == known.life_ && known.is_draining_)
+            info.is_draining_ = true;
+        if (info.life_ > known.life_)
+            handle(end_life{info.name_, known.life_});
     }
     // One process at a time has an address: an older life there is over.
     std::vector<end_life> replaced;
@@ -141,6 +153,9 @@
     for (const run_ref& run : lost)
         end_run(command.worker_, run, run_end::lost, {});
     workers_.erase(command.worker_);
+    ended_lives_[command.worker_] = command.life_;
+    if (ended_lives_.size() > max_ended_lives)
+        ended_lives_.erase(ended_lives_.begin());
     return pool_reply::applied;
 }
 
