--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -303,6 +303,8 @@
             on_answer(elsewhere());
             return;
         }
+        // This runs while the entry is applied, before the owner was told.
+        owner_->state_changed();
         run_owner();
         owner_->hear_worker(info.name_, info.life_, clock_ms, steady_now());
         on_answer(done);
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -74,6 +74,7 @@
                      std::int64_t clock_ms, instant now);
     void take_result(std::uint64_t call, const call_result& result,
                      instant now);
+    /// Call after each change of the state and before the next tick().
     void state_changed();
     /// The starts of the last output are committed, or have failed.
     void batch_settled();
@@ -84,6 +85,8 @@
   private:
     class worker_session;
 
+    /// Whether the state still holds the life that a session deals with.
+    [[nodiscard]] bool is_current(const worker_session& session) const;
     /// Opens and closes sessions as workers come and go.
     void follow_state();
     void plan(instant now, std::int64_t wall_ms);
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -118,6 +118,10 @@
     {
         return workers_;
     }
+    /// A worker that must be known; the place of the call is reported.
+    [[nodiscard]] const worker_record&
+    worker_at(const worker_name& name, const char* file = __builtin_FILE(),
+              int line = __builtin_LINE()) const;
     [[nodiscard]] const job_record* find_job(const job_id& id) const;
     /// Jobs that are not final, or of which a run may still exist.
     [[nodiscard]] const std::set<job_id>& active_jobs() const
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -97,7 +97,9 @@
         return;
     auto session = sessions_.find(found->second);
     calls_.erase(found);
-    if (session == sessions_.end())
+    // The worker's end may be committed though the owner has not had a turn
+    // since.
+    if (session == sessions_.end() || !is_current(*session->second))
         return;
     session->second->take_result(call, result, now, output_);
     is_dirty_ = true;
@@ -115,20 +117,24 @@
     is_dirty_ = true;
 }
 
+bool pool_owner::is_current(const worker_session& session) const
+{
+    auto found = state_.workers().find(session.worker());
+    return found != state_.workers().end() &&
+           found->second.info_.life_ == session.life();
+}
+
 void pool_owner::follow_state()
 {
     if (!has_state_changed_)
         return;
     has_state_changed_ = false;
     std::erase_if(sessions_, [this](const auto& item) {
-        auto found = state_.workers().find(item.first);
-        bool is_current = found != state_.workers().end() &&
-                          found->second.info_.life_ == item.second->life();
-        if (!is_current) {
-            for (std::uint64_t call : item.second->open_calls())
-                calls_.erase(call);
-        }
-        return !is_current;
+        if (is_current(*item.second))
+            return false;
+        for (std::uint64_t call : item.second->open_calls())
+            calls_.erase(call);
+        return true;
     });
     for (const auto& [name, record] : state_.workers()) {
         if (!sessions_.contains(name))
@@ -145,10 +151,6 @@
     // Times pass and other workers' news matter for every session, but not
     // at every event.
     bool is_sweep = now - swept_at_ >= sweep_time;
-    if (is_sweep) {
-        swept_at_ = now;
-        detect_stalls(now);
-    }
     std::vector<worker_session*> due;
     follow_state();
     for (auto& item : sessions_) {
@@ -157,6 +159,10 @@
         item.second->follow_state(now);
         due.push_back(item.second.get());
     }
+    if (is_sweep) {
+        swept_at_ = now;
+        detect_stalls(now);
+    }
     auto workers = static_cast<duration::rep>(sessions_.size());
     duration pause = plan_pause + workers * plan_pause_per_worker;
     bool is_due = (is_dirty_ && now - planned_at_ >= pause) ||
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -335,6 +335,15 @@
 
 // --- Views
 
+const worker_record& pool_state::worker_at(const worker_name& name,
+                                           const char* file, int line) const
+{
+    auto found = workers_.find(name);
+    if (found == workers_.end())
+        fail_invariant("worker " + name.str() + " is known", file, line);
+    return found->second;
+}
+
 const job_record* pool_state::find_job(const job_id& id) const
 {
     auto found = jobs_.find(id);
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -54,7 +54,7 @@
 
 const worker_info& pool_owner::worker_session::info() const
 {
-    return state_.workers().at(worker_).info_;
+    return state_.worker_at(worker_).info_;
 }
 
 void pool_owner::worker_session::hear(std::int64_t clock_ms, instant now)
@@ -253,7 +253,7 @@
                                               std::uint64_t& next_call,
                                               owner_output& out)
 {
-    std::uint64_t noted = state_.workers().at(worker_).noted_ends_;
+    std::uint64_t noted = state_.worker_at(worker_).noted_ends_;
     bool has_runs =
         std::any_of(runs_.begin(), runs_.end(), [](const auto& item) {
             return item.second.phase_ != run_phase::unsent;
@@ -445,7 +445,7 @@
     if (call.wait_ == duration::zero())
         next_hold_ = now + cursor_delay;
     note_ends batch{worker_, life_, {}};
-    std::uint64_t noted = state_.workers().at(worker_).noted_ends_;
+    std::uint64_t noted = state_.worker_at(worker_).noted_ends_;
     for (const listed_end& item : answer.ended_) {
         if (item.sequence_ <= noted)
             continue;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -16,6 +16,7 @@
                    worker_name worker, std::int64_t life, std::uint64_t term,
                    instant now, bool is_inherited);
 
+    [[nodiscard]] const worker_name& worker() const { return worker_; }
     [[nodiscard]] std::int64_t life() const { return life_; }
 
     /// Takes over which runs the state holds for this worker.
--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -136,3 +136,19 @@
     }
     CHECK(stops.empty());
 }
+
+// workers.toml on arreola-rol, seed 32629667681: an answer of a worker whose
+// end was committed a moment before ended the leader with map::at.
+TEST_CASE("an answer of a worker that is gone changes nothing", "[pool_owner]")
+{
+    owner_fixture pool;
+    pool.submit("a", {pool_fixture::make_step(1, 1, false)});
+    pool.pass(10ms);
+    std::vector<worker_call> calls = pool.pass(10ms);
+    REQUIRE(calls.size() == 2);
+    pool.state_.apply(end_life{pool_fixture::name_of(0), 1});
+    pool.owner_.state_changed();
+    for (const worker_call& call : calls)
+        CHECK_NOTHROW(pool.answer(call));
+    CHECK_NOTHROW(pool.pass(50ms));
+}
