--- a/libs/control/test/client_call_test.cpp
+++ b/libs/control/test/client_call_test.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-client_answer settle(client_verb verb, bool is_repeat,
-                     client_outcome_kind kind)
+client_answer settle(client_verb verb, bool is_repeat, client_outcome_kind kind)
 {
     client_call call;
     call.verb_ = verb;
--- a/libs/peer/include/dandelioncrank/peer/peer_link.hpp
+++ b/libs/peer/include/dandelioncrank/peer/peer_link.hpp
@@ -36,8 +36,7 @@
     /// Sends a message whose answer does not matter. It is dropped while
     /// too many bytes wait for the other side. A connection on which nothing
     /// comes back within the limit is taken to be silent and replaced.
-    void post(const QByteArray& body,
-              duration limit = std::chrono::seconds(5));
+    void post(const QByteArray& body, duration limit = std::chrono::seconds(5));
 
     [[nodiscard]] std::uint64_t sent_bytes() const { return sent_bytes_; }
     [[nodiscard]] std::uint64_t sent_messages() const { return messages_; }
