core, control, pool: one reading of the wall clock in milliseconds; an unused field goes

Cause: reading the whole change again: wall_milliseconds stood in control_host.cpp and client_service.cpp, and pool_owner kept a time that nothing read. Change: wall_milliseconds in core/time; the field is gone. No behaviour changes.

--- a/libs/control/src/client_service.cpp
+++ b/libs/control/src/client_service.cpp
@@ -11,13 +11,6 @@
 // When a client should come back that came before the first configuration.
 constexpr duration retry_time = 1s;
 
-std::int64_t wall_milliseconds()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 } // namespace
 
 void client_service::serve(const client_call& call, answer_handler on_answer)
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -33,13 +33,6 @@
 // How long a planned stop waits for another host to lead.
 constexpr duration hand_over_time = 1500ms;
 
-std::int64_t wall_milliseconds()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 } // namespace
 
 class control_host::implementation
--- a/libs/core/include/dandelioncrank/core/time.hpp
+++ b/libs/core/include/dandelioncrank/core/time.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace dandelioncrank {
 
@@ -26,6 +27,10 @@
 /// Seconds since the epoch of the wall clock, for texts shown to people.
 [[nodiscard]] std::chrono::sys_seconds wall_now();
 
+/// Milliseconds of the wall clock since the epoch, for times that are shared
+/// with other hosts. It may jump.
+[[nodiscard]] std::int64_t wall_milliseconds();
+
 /// Time left from now until deadline; never negative.
 [[nodiscard]] duration time_left(instant now, instant deadline);
 
--- a/libs/core/src/time.cpp
+++ b/libs/core/src/time.cpp
@@ -22,6 +22,13 @@
         std::chrono::system_clock::now());
 }
 
+std::int64_t wall_milliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 duration time_left(instant now, instant deadline)
 {
     return std::max(duration::zero(), deadline - now);
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -96,7 +96,6 @@
     const pool_state& state_;
     owner_timing timing_;
     std::uint64_t term_ = 0;
-    instant begun_at_{};
     std::uint64_t next_call_ = 1;
     std::map<worker_name, std::unique_ptr<worker_session>> sessions_;
     std::map<std::uint64_t, worker_name> calls_;
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -61,7 +61,6 @@
 {
     end();
     term_ = term;
-    begun_at_ = now;
     is_dirty_ = true;
     has_state_changed_ = true;
     swept_at_ = {};
