control: a lost voter's vote is another's in time for the next loss

A host that is removed counts as lost only until its successor has had the time to catch up (4 s). Ruled out: a new leader that never hears the lost voter (heard_at starts with the term); a learner that lagged (it had every entry). Change: the vote moves after half of the time to catch up, which is a setting (catch_up_time, from the platform's bounds), to a learner that answers.

--- a/libs/control/include/dandelioncrank/control/control_settings.hpp
+++ b/libs/control/include/dandelioncrank/control/control_settings.hpp
@@ -31,6 +31,9 @@
     std::string data_dir_;
     /// Control hosts that may be lost at once with their disks.
     std::size_t tolerated_hosts_ = 1;
+    /// Time that a new control host has until it counts; a lost host's vote
+    /// is another's before then.
+    duration catch_up_time_ = std::chrono::seconds(4);
     /// First start of the whole group.
     bool bootstrap_ = false;
     /// Time a process has between the order to stop and its end.
--- a/libs/control/include/dandelioncrank/control/member_planner.hpp
+++ b/libs/control/include/dandelioncrank/control/member_planner.hpp
@@ -53,13 +53,15 @@
     std::map<std::string, zone_name> zones_;
     /// Twice the hosts that may be lost at once, and one.
     std::size_t wanted_voters_ = 3;
+    /// Time after the loss of a host by which the next loss is to be borne.
+    duration catch_up_time_ = std::chrono::seconds(4);
     instant now_{};
 };
 
 /// The next change of members, if one is due: hosts that are new learn, a
 /// host without its disk takes its old identity's place, learners vote until
 /// there are as many voters as wanted, no zone with half of them, and a voter
-/// that is silent for long gives its vote to a learner.
+/// that is silent gives its vote to a learner in time for the next loss.
 [[nodiscard]] std::optional<member_step>
 next_member_step(const member_view& view);
 
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -471,6 +471,7 @@
     view.zones_ = zones_;
     view.zones_[peers_.self()] = settings_.zone_;
     view.wanted_voters_ = 2 * settings_.tolerated_hosts_ + 1;
+    view.catch_up_time_ = settings_.catch_up_time_;
     view.now_ = now;
     for (const auto* group :
          {&status.members_.voters_, &status.members_.learners_}) {
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -26,6 +26,8 @@
 ABSL_FLAG(bool, bootstrap, false, "this is the group's first start");
 ABSL_FLAG(int, tolerated_hosts, 1,
           "control hosts that may be lost at once with their disks");
+ABSL_FLAG(absl::Duration, catch_up_time, absl::Seconds(4),
+          "time from a control host's start until it is to count");
 ABSL_FLAG(absl::Duration, stop_time, absl::Seconds(6),
           "time from the order to stop to the end of the process");
 ABSL_FLAG(absl::Duration, longest_lease, absl::Seconds(6),
@@ -61,8 +63,9 @@
     return {"DANDELIONCRANK",
             {"host", "zone", "internal_address", "control_address",
              "client_address", "ready_address", "metrics_address", "seeds",
-             "data_dir", "bootstrap", "tolerated_hosts", "stop_time",
-             "longest_lease", "announce_interval", "body_kib", "log_level"}};
+             "data_dir", "bootstrap", "tolerated_hosts", "catch_up_time",
+             "stop_time", "longest_lease", "announce_interval", "body_kib",
+             "log_level"}};
 }
 
 duration in_range(const std::string& name, absl::Duration value, duration least,
@@ -160,6 +163,8 @@
     settings.data_dir_ = absl::GetFlag(FLAGS_data_dir);
     settings.bootstrap_ = absl::GetFlag(FLAGS_bootstrap);
     read_addresses(settings, faults);
+    settings.catch_up_time_ = in_range(
+        "catch_up_time", absl::GetFlag(FLAGS_catch_up_time), 1s, 1h, faults);
     settings.stop_time_ =
         in_range("stop_time", absl::GetFlag(FLAGS_stop_time), 1s, 1h, faults);
     pool::owner_timing& timing = settings.timing_;
--- a/libs/control/src/member_planner.cpp
+++ b/libs/control/src/member_planner.cpp
@@ -8,9 +8,10 @@
 
 // A control host that said hello within this time is there.
 constexpr duration present_time = 1500ms;
-// A voter that is silent for longer gives its vote to a learner. Longer than
-// the cuts and freezes of seconds that a voter comes back from by itself.
-constexpr duration replace_time = 8s;
+// Part of the time to catch up after which a silent voter's vote goes to a
+// learner, in percent: the group has to bear the next loss once that time is
+// over, and the election and the change take their part of it.
+constexpr int replace_percent = 50;
 // A learner that does not answer for so long is not waited for.
 constexpr duration give_up_time = 3s;
 
@@ -122,7 +123,8 @@
             return promote_step{*next};
     }
     for (const voter_name& voter : members.voters_) {
-        if (!is_silent(view, voter, replace_time))
+        duration limit = view.catch_up_time_ * replace_percent / 100;
+        if (!is_silent(view, voter, limit))
             continue;
         if (auto next = best_learner(view, &voter))
             return replace_voter_step{voter, *next};
