pool: work that waits for a rack takes room that nobody uses

The log did not say why a job waits. Ruled out: quarantine, headroom for guarantees and forgotten runs: with the reasons logged, the steps waited for "no rack that suits it has the room". Change: what waits for a rack for 1.5 s runs anywhere while 40 % or more of the pool is free; the owner's log tells what waits for a second, with the reason, and each change of the reason after a second. Tests: placement_planner, three cases; the first fails without the rule.

--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -3,6 +3,7 @@
 #include "dandelioncrank/pool/pool_state.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -23,6 +24,21 @@
 /// Names a step of one occurrence of a job.
 using step_key = std::tuple<job_id, std::uint32_t, std::uint32_t>;
 
+/// Why something that could run waits.
+enum class wait_reason
+{
+    /// No worker has the room.
+    no_room,
+    /// There is room, but not in the racks in which it runs at full speed.
+    no_rack,
+    /// What is free is kept for guarantees.
+    kept_free,
+    /// The room could be cleared, at the loss of too much work.
+    too_dear,
+};
+
+[[nodiscard]] std::string to_text(wait_reason value);
+
 /// What is known beside the replicated state when a plan is made.
 struct planner_view
 {
@@ -35,6 +51,8 @@
     std::map<job_id, instant> accepted_at_;
     /// Racks that the plan before has begun to clear for a gang.
     std::map<step_key, std::string> cleared_racks_;
+    /// Since when each step that the plan before left waiting waits.
+    std::map<step_key, instant> waiting_since_;
 };
 
 /// A run that gives way.
@@ -51,6 +69,10 @@
     std::vector<start_run> starts_;
     std::vector<stop_order> stops_;
     std::map<step_key, std::string> cleared_racks_;
+    /// Steps that begin away from their data or over several racks.
+    std::set<step_key> spread_steps_;
+    /// Steps of which something stays waiting.
+    std::map<step_key, wait_reason> waits_;
 };
 
 /// Decides which waiting tasks start where, and which running ones give way.
@@ -58,7 +80,8 @@
 /// Order: jobs within their team's guarantee, then by priority and by whether
 /// they can still be on time, small ones first. Jobs of priority 0 may stop
 /// work of lower priority; jobs within a guarantee also work of priority 0
-/// beyond one.
+/// beyond one. Work that runs faster in one rack waits for it, but not while
+/// much of the pool is idle.
 [[nodiscard]] placement_plan make_plan(const pool_state& state,
                                        const planner_view& view);
 
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,14 @@
   private:
     class worker_session;
 
+    /// A step that waits, and what was last told of it.
+    struct wait_note
+    {
+        instant since_{};
+        wait_reason told_reason_{};
+        std::optional<instant> told_at_;
+    };
+
     /// Whether the state still holds the life that a session deals with.
     [[nodiscard]] bool is_current(const worker_session& session) const;
     /// Opens and closes sessions as workers come and go.
@@ -92,6 +101,9 @@
     void plan(instant now, std::int64_t wall_ms);
     [[nodiscard]] planner_view make_view(instant now, std::int64_t wall_ms);
     void detect_stalls(instant now);
+    /// Keeps what waits; what waits for long is told of, and each change of
+    /// its reason, once in a while.
+    void note_waits(const std::map<step_key, wait_reason>& waits, instant now);
 
     const pool_state& state_;
     owner_timing timing_;
@@ -101,6 +113,7 @@
     std::map<std::uint64_t, worker_name> calls_;
     std::map<job_id, instant> accepted_at_;
     std::map<step_key, std::string> cleared_racks_;
+    std::map<step_key, wait_note> waits_;
     bool is_dirty_ = true;
     bool has_state_changed_ = true;
     instant now_{};
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -23,6 +23,13 @@
 // percent, by priority from 1 on: an urgent job that finds room begins a
 // stop's time earlier, and nothing is thrown away for it.
 constexpr std::array<std::int64_t, 2> headroom_percent = {5, 20};
+// What runs slower over several racks waits so long for one before it takes
+// idle room anywhere: stops and short tasks clear a rack within that time.
+constexpr duration rack_patience = 1500ms;
+// Share of the accelerators that is free when work may run slower than it
+// could, in percent: the room is then nobody else's. Below the half at which
+// work that waits counts as forgotten.
+constexpr std::int64_t idle_percent = 40;
 
 /// Makes one plan.
 class plan_maker
@@ -50,26 +57,46 @@
         bool is_single = unit.tasks_.size() == 1;
         if (is_single && full_steps_.contains(unit.key()))
             return;
-        if (!leaves_headroom(unit))
+        if (!leaves_headroom(unit)) {
+            bool has_room = rooms_.free_accelerators() >= unit.accelerators();
+            plan_.waits_[unit.key()] =
+                has_room ? wait_reason::kept_free : wait_reason::no_room;
             return;
+        }
         if (auto where = search_.find_free(unit)) {
             start(unit, *where);
             return;
         }
+        if (auto where = search_.find_free_anywhere(unit)) {
+            plan_.waits_[unit.key()] = wait_reason::no_rack;
+            if (may_spread(unit)) {
+                start(unit, *where);
+                plan_.spread_steps_.insert(unit.key());
+                return;
+            }
+        } else {
+            plan_.waits_[unit.key()] = wait_reason::no_room;
+        }
         if (is_single)
             full_steps_.insert(unit.key());
-        if (!unit.goes_first())
-            return;
-        auto where = search_.find_by_stopping(unit);
-        if (where && pays_off(unit, *where))
-            make_room(unit, *where);
+        if (unit.goes_first())
+            make_room(unit);
+    }
+
+    [[nodiscard]] bool may_spread(const waiting_unit& unit) const
+    {
+        auto since = view_.waiting_since_.find(unit.key());
+        if (since == view_.waiting_since_.end() ||
+            view_.now_ - since->second < rack_patience)
+            return false;
+        return rooms_.free_accelerators() * 100 >=
+               rooms_.all_accelerators() * idle_percent;
     }
 
     [[nodiscard]] bool leaves_headroom(const waiting_unit& unit) const
     {
         int priority = unit.job_->queue_.priority_;
-        std::int64_t need = unit.spec().need_.accelerators_ *
-                            static_cast<std::int64_t>(unit.tasks_.size());
+        std::int64_t need = unit.accelerators();
         if (priority <= 0 || need == 0)
             return true;
         auto level = std::min<std::size_t>(static_cast<std::size_t>(priority),
@@ -101,9 +128,18 @@
         plan_.starts_.push_back(std::move(order));
     }
 
+    void make_room(const waiting_unit& unit)
+    {
+        auto where = search_.find_by_stopping(unit);
+        if (where && pays_off(unit, *where))
+            stop_for(unit, *where);
+        else if (where)
+            plan_.waits_[unit.key()] = wait_reason::too_dear;
+    }
+
     /// Stops what is in the way and keeps the room: what the victims leave
     /// over is nobody's before they have ended.
-    void make_room(const waiting_unit& unit, const placement& where)
+    void stop_for(const waiting_unit& unit, const placement& where)
     {
         for (victim_index index : where.victims_) {
             const victim& item = rooms_.victim_at(index);
@@ -131,6 +167,21 @@
 
 } // namespace
 
+std::string to_text(wait_reason value)
+{
+    switch (value) {
+    case wait_reason::no_room:
+        return "no worker has the room";
+    case wait_reason::no_rack:
+        return "no rack that suits it has the room";
+    case wait_reason::kept_free:
+        return "what is free is kept for guarantees";
+    case wait_reason::too_dear:
+        break;
+    }
+    return "to clear room would lose too much work";
+}
+
 placement_plan make_plan(const pool_state& state, const planner_view& view)
 {
     return plan_maker(state, view).make();
--- a/libs/pool/src/placement_search.cpp
+++ b/libs/pool/src/placement_search.cpp
@@ -11,6 +11,14 @@
     return find(unit, false);
 }
 
+std::optional<placement>
+placement_search::find_free_anywhere(const waiting_unit& unit) const
+{
+    const step_spec& spec = unit.spec();
+    bool is_tied = !spec.data_rack_.empty() || spec.wants_one_rack_;
+    return is_tied ? find_among(unit, rooms_.all(), false) : std::nullopt;
+}
+
 std::optional<placement>
 placement_search::find_by_stopping(const waiting_unit& unit) const
 {
--- a/libs/pool/src/placement_search.hpp
+++ b/libs/pool/src/placement_search.hpp
@@ -35,6 +35,10 @@
     /// A place in what is free now.
     [[nodiscard]] std::optional<placement>
     find_free(const waiting_unit& unit) const;
+    /// A place in what is free, in any rack, for a unit that would run faster
+    /// in some; nothing for others.
+    [[nodiscard]] std::optional<placement>
+    find_free_anywhere(const waiting_unit& unit) const;
     /// The place that loses least work of others.
     [[nodiscard]] std::optional<placement>
     find_by_stopping(const waiting_unit& unit) const;
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -22,6 +22,9 @@
 // A job's age is taken from wall clocks after a change of owner, which may
 // be off; it is bounded by this.
 constexpr std::int64_t max_inherited_age_ms = 30'000;
+// Work that waits for longer is told of in the log with the reason, and a
+// change of the reason after as long.
+constexpr duration long_wait = 1s;
 // Share of the workers that may be kept out for failing jobs, in percent.
 constexpr std::size_t max_quarantined_percent = 30;
 
@@ -76,6 +79,7 @@
     calls_.clear();
     accepted_at_.clear();
     cleared_racks_.clear();
+    waits_.clear();
     batch_under_way_ = false;
     output_ = {};
 }
@@ -239,9 +243,35 @@
     }
     view.accepted_at_ = accepted_at_;
     view.cleared_racks_ = cleared_racks_;
+    for (const auto& [step, note] : waits_)
+        view.waiting_since_[step] = note.since_;
     return view;
 }
 
+void pool_owner::note_waits(const std::map<step_key, wait_reason>& waits,
+                            instant now)
+{
+    std::map<step_key, wait_note> notes;
+    for (const auto& [step, reason] : waits) {
+        auto [before, is_new] = waits_.try_emplace(step);
+        wait_note note = before->second;
+        if (is_new)
+            note.since_ = now;
+        bool is_other = !note.told_at_ || note.told_reason_ != reason;
+        instant quiet_since = note.told_at_.value_or(note.since_);
+        if (is_other && now - quiet_since >= long_wait) {
+            note.told_at_ = now;
+            note.told_reason_ = reason;
+            output_.events_.push_back({std::get<0>(step).str(),
+                                       "step " +
+                                           std::to_string(std::get<2>(step)) +
+                                           " waits: " + to_text(reason)});
+        }
+        notes.emplace(step, note);
+    }
+    waits_ = std::move(notes);
+}
+
 void pool_owner::plan(instant now, std::int64_t wall_ms)
 {
     is_dirty_ = false;
@@ -256,6 +286,7 @@
                  "rack " + rack + " is cleared for the job"});
     }
     cleared_racks_ = std::move(result.cleared_racks_);
+    note_waits(result.waits_, now);
     for (const stop_order& order : result.stops_) {
         for (auto& item : sessions_)
             item.second->request_stop(order.run_);
@@ -265,11 +296,14 @@
                                               order.for_job_.str()});
     }
     for (start_run& order : result.starts_) {
+        step_key step{order.job_, order.occurrence_, order.step_};
+        bool is_spread = result.spread_steps_.contains(step);
         output_.events_.push_back(
-            {order.job_.str(), "run " + std::to_string(order.run_) +
-                                   " of step " + std::to_string(order.step_) +
-                                   " is placed, tasks " +
-                                   std::to_string(order.places_.size())});
+            {order.job_.str(),
+             "run " + std::to_string(order.run_) + " of step " +
+                 std::to_string(order.step_) + " is placed, tasks " +
+                 std::to_string(order.places_.size()) +
+                 (is_spread ? ", slower over several racks" : "")});
         output_.starts_.push_back(std::move(order));
     }
     batch_under_way_ = !output_.starts_.empty();
--- a/libs/pool/src/room_table.cpp
+++ b/libs/pool/src/room_table.cpp
@@ -32,6 +32,7 @@
                 ++placed_[{step, index}];
         }
         free_ += item.free_.accelerators_;
+        capacity_ += info.capacity_.accelerators_;
         rooms_.push_back(std::move(item));
         all_.push_back(index);
         by_name_.emplace(name, index);
--- a/libs/pool/src/room_table.hpp
+++ b/libs/pool/src/room_table.hpp
@@ -69,6 +69,7 @@
     [[nodiscard]] const std::vector<room_index>& all() const { return all_; }
     [[nodiscard]] std::int64_t free_in_rack(const std::string& rack) const;
     [[nodiscard]] std::int64_t free_accelerators() const { return free_; }
+    [[nodiscard]] std::int64_t all_accelerators() const { return capacity_; }
     /// Tasks of a step on a worker, those placed in this plan included.
     [[nodiscard]] std::uint32_t placed(const step_key& step,
                                        room_index where) const;
@@ -94,6 +95,7 @@
     std::vector<victim> victims_;
     std::map<std::pair<step_key, room_index>, std::uint32_t> placed_;
     std::int64_t free_ = 0;
+    std::int64_t capacity_ = 0;
 };
 
 } // namespace dandelioncrank::pool
--- a/libs/pool/src/waiting_unit.hpp
+++ b/libs/pool/src/waiting_unit.hpp
@@ -26,6 +26,12 @@
     {
         return job_->order_.steps_[step_];
     }
+    /// Accelerators that its tasks need together.
+    [[nodiscard]] std::int64_t accelerators() const
+    {
+        return spec().need_.accelerators_ *
+               static_cast<std::int64_t>(tasks_.size());
+    }
     [[nodiscard]] step_key key() const
     {
         return {job_->order_.id_, occurrence_, step_};
--- a/libs/pool/test/placement_planner_test.cpp
+++ b/libs/pool/test/placement_planner_test.cpp
@@ -69,6 +69,79 @@
     CHECK(racks.size() == 1);
 }
 
+// arreola-rol, whole-core power loss, seed 1989416023: gangs of three whole
+// workers waited for a rack to the end while half of the pool was idle.
+TEST_CASE("a gang that waits for a rack takes idle room when half is idle",
+          "[placement_planner]")
+{
+    // One task holds a worker of each rack of two.
+    pool_fixture pool(8, 2);
+    step_spec blocker = pool_fixture::make_step(4, 1, false);
+    blocker.need_.cpu_ = 64'000;
+    blocker.per_worker_limit_ = 1;
+    blocker.is_gang_ = true;
+    pool.submit("a", {blocker});
+    pool.state_.apply(start_run{job_id("a"),
+                                0,
+                                0,
+                                1,
+                                {{0, pool_fixture::name_of(0), 1},
+                                 {1, pool_fixture::name_of(2), 1},
+                                 {2, pool_fixture::name_of(4), 1},
+                                 {3, pool_fixture::name_of(6), 1}}});
+    step_spec step = pool_fixture::make_step(2, 2, true);
+    step.need_.cpu_ = 64'000;
+    step.wants_one_rack_ = true;
+    job_id id = pool.submit("b", {step});
+    placement_plan first = pool.plan();
+    CHECK(first.starts_.empty());
+    step_key key{id, 0, 0};
+    CHECK(first.waits_.at(key) == wait_reason::no_rack);
+
+    pool.view_.waiting_since_[key] = pool.view_.now_;
+    pool.view_.now_ += std::chrono::seconds(2);
+    placement_plan second = pool.plan();
+    REQUIRE(second.starts_.size() == 1);
+    CHECK(second.spread_steps_.contains(key));
+}
+
+TEST_CASE("work keeps waiting for its rack while the pool is well used",
+          "[placement_planner]")
+{
+    // One worker of three is free in each rack.
+    pool_fixture pool(6, 3);
+    step_spec busy = pool_fixture::make_step(4, 8, true);
+    busy.per_worker_limit_ = 1;
+    pool.submit("a", {busy});
+    pool.state_.apply(start_run{job_id("a"),
+                                0,
+                                0,
+                                1,
+                                {{0, pool_fixture::name_of(0), 1},
+                                 {1, pool_fixture::name_of(1), 1},
+                                 {2, pool_fixture::name_of(3), 1},
+                                 {3, pool_fixture::name_of(4), 1}}});
+    step_spec step = pool_fixture::make_step(2, 8, true);
+    step.wants_one_rack_ = true;
+    job_id id = pool.submit("b", {step});
+    pool.view_.waiting_since_[{id, 0, 0}] = pool.view_.now_;
+    pool.view_.now_ += std::chrono::seconds(20);
+    CHECK(pool.plan().starts_.empty());
+}
+
+TEST_CASE("what waits is named with its reason", "[placement_planner]")
+{
+    pool_fixture pool(1);
+    pool.submit("a", {pool_fixture::make_step(1, 8, true)});
+    pool.plan_and_start();
+    job_id id = pool.submit("b", {pool_fixture::make_step(1, 8, true)});
+    job_id urgent = pool.submit("c", {pool_fixture::make_step(1, 1, true)}, 0);
+    pool.view_.now_ += std::chrono::seconds(30);
+    placement_plan plan = pool.plan();
+    CHECK(plan.waits_.at({id, 0, 0}) == wait_reason::no_room);
+    CHECK(plan.waits_.at({urgent, 0, 0}) == wait_reason::too_dear);
+}
+
 TEST_CASE("a guaranteed job takes its accelerators back at once",
           "[placement_planner]")
 {
