pool, control: the ends of a worker that leaves are noted before its life ends

The end of its life was queued for the log ahead of the end of the run, which was then dropped as one of a life that is over, and the task ran again. Ruled out: a lapsed lease (the run ended within it); a new owner (none). Change: a worker that leaves retires first: its runs are stopped, ends that were read go to the log before the end of its life, and only then is it answered. One that takes no calls any more is over at the first refusal. Tests: pool_owner, three cases; the first fails if the life ends at once.

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -64,6 +64,8 @@
     void take_over();
     void schedule_owner();
     void run_owner();
+    /// Answers workers that leave once their lives are over in the state.
+    void settle_leaves();
     void carry_out(pool::owner_output output);
     void review_members(instant now);
     void tick();
@@ -91,6 +93,9 @@
     bool owner_scheduled_ = false;
     instant owner_ran_at_{};
     std::map<worker_name, std::pair<std::int64_t, std::uint64_t>> sequences_;
+    /// Workers that wait for the end of their lives.
+    std::map<std::pair<worker_name, std::int64_t>, std::vector<answer_handler>>
+        leaves_;
     std::map<voter_name, instant> greeted_at_;
     std::map<std::string, zone_name> zones_;
     instant members_reviewed_at_{};
@@ -317,6 +322,13 @@
         life = found->second.info_.life_;
     log_.event("Worker leaves.",
                {{"worker", worker.str()}, {"life", std::to_string(life)}});
+    // The worker ends with the answer, and ends that nobody has read then are
+    // lost with it.
+    if (owner_->retire_worker(worker, life, steady_now())) {
+        leaves_[{worker, life}].push_back(on_answer);
+        schedule_owner();
+        return;
+    }
     group_->enqueue(pool::end_life{worker, life},
                     [this, on_answer](proposal_end end, pool::pool_reply) {
                         on_answer(
@@ -365,6 +377,25 @@
     });
 }
 
+void control_host::implementation::settle_leaves()
+{
+    auto open = std::move(leaves_);
+    leaves_.clear();
+    for (auto& [key, answers] : open) {
+        const auto& [worker, life] = key;
+        auto found = state().workers().find(worker);
+        bool is_over = found == state().workers().end() ||
+                       found->second.info_.life_ != life;
+        if (!is_over && owned_term_ != 0) {
+            leaves_.emplace(key, std::move(answers));
+            continue;
+        }
+        control_answer done{control_outcome::done, {}, {}};
+        for (const answer_handler& answer : answers)
+            answer(is_over ? done : elsewhere());
+    }
+}
+
 // --- Owning the pool
 
 void control_host::implementation::role_changed()
@@ -376,6 +407,7 @@
                    {{"term", std::to_string(owned_term_)}});
         owner_->end();
         owned_term_ = 0;
+        settle_leaves();
     }
     group_->schedule_flush();
 }
@@ -406,6 +438,7 @@
 {
     if (owned_term_ == 0 || !leads())
         return;
+    settle_leaves();
     owner_ran_at_ = steady_now();
     owner_->tick(owner_ran_at_, wall_milliseconds());
     carry_out(owner_->take_output());
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -73,6 +73,11 @@
     /// A worker has announced itself.
     void hear_worker(const worker_name& worker, std::int64_t life,
                      std::int64_t clock_ms, instant now);
+    /// A worker is about to end. Its life is over in the state once the ends
+    /// of what runs there are noted, or after a second; false if the owner
+    /// does not deal with that life.
+    bool retire_worker(const worker_name& worker, std::int64_t life,
+                       instant now);
     void take_result(std::uint64_t call, const call_result& result,
                      instant now);
     /// Call after each change of the state and before the next tick().
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -92,6 +92,17 @@
         found->second->hear(clock_ms, now);
 }
 
+bool pool_owner::retire_worker(const worker_name& worker, std::int64_t life,
+                               instant now)
+{
+    auto found = sessions_.find(worker);
+    bool is_known = found != sessions_.end() && found->second->life() == life &&
+                    is_current(*found->second);
+    if (is_known)
+        found->second->retire(now);
+    return is_known;
+}
+
 void pool_owner::take_result(std::uint64_t call, const call_result& result,
                              instant now)
 {
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -27,6 +27,9 @@
 constexpr duration max_look_gap = 3s;
 // Time in which a member of a completed gang lists its end by itself.
 constexpr duration listing_time = 1s;
+// A worker that leaves waits so long for the ends of what runs there; stops
+// take less, and its own patience is longer.
+constexpr duration retire_time = 1s;
 // Pause before an idle worker is told which ends were noted: a new order
 // may come first and carry the hold anyway.
 constexpr duration cursor_delay = 30ms;
@@ -86,7 +89,8 @@
     bool heard = now - heard_at_ < timing_.silence_ && lost_calls_ == 0;
     bool trusted = troubled_jobs_.size() < max_troubled_jobs ||
                    now - trouble_at_ > timing_.quarantine_;
-    return heard && trusted && clock_ms_ && now >= avoid_until_;
+    return heard && trusted && clock_ms_ && now >= avoid_until_ &&
+           !retire_until_;
 }
 
 int pool_owner::worker_session::trouble() const
@@ -105,6 +109,14 @@
     troubled_jobs_.clear();
 }
 
+void pool_owner::worker_session::retire(instant now)
+{
+    if (retire_until_)
+        return;
+    retire_until_ = now + retire_time;
+    has_result_ = true;
+}
+
 void pool_owner::worker_session::describe_runs(planner_view& view) const
 {
     for (const auto& [run, entry] : runs_)
@@ -158,6 +170,7 @@
 {
     has_result_ = false;
     conclude_lapsed(now, out);
+    conclude_life(now, out);
     for (auto& [run, entry] : runs_)
         advance_run(run, entry, now, next_call, out);
     for (const run_ref& run : strays_)
@@ -198,6 +211,21 @@
     }
 }
 
+void pool_owner::worker_session::conclude_life(instant now, owner_output& out)
+{
+    if (!retire_until_ || now < next_life_end_)
+        return;
+    // Ends that were read before go first to the log.
+    bool is_over = runs_.empty() || is_gone_ || now >= *retire_until_;
+    if (!is_over)
+        return;
+    next_life_end_ = now + proposal_time;
+    out.observations_.push_back(end_life{worker_, life_});
+    out.events_.push_back(
+        {worker_.str(), "worker " + worker_.str() + " has left with " +
+                            std::to_string(runs_.size()) + " runs"});
+}
+
 void pool_owner::worker_session::conclude(const run_ref& run, run_end end,
                                           owner_output& out)
 {
@@ -225,9 +253,11 @@
         now - *entry.done_at_ < listing_time)
         return;
     bool wanted = state_.is_wanted(run) && !entry.stop_requested_;
-    // A draining worker begins nothing new.
+    // A draining worker begins nothing new, one that retires ends all.
     if (info().is_draining_ && entry.phase_ != run_phase::confirmed)
         wanted = false;
+    if (retire_until_)
+        wanted = false;
     if (!wanted && entry.phase_ == run_phase::unsent) {
         conclude(run, run_end::refused, out);
         entry.next_try_ = now + proposal_time;
@@ -352,6 +382,8 @@
                                            instant now)
 {
     ++lost_calls_;
+    // Its last answer was read before this refusal.
+    is_gone_ = is_gone_ || (retire_until_ && not_sent);
     auto pause = timing_.retry_time_ * std::min(lost_calls_, 4);
     if (std::holds_alternative<hold_call>(call.what_)) {
         cursor_told_ = 0;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -33,6 +33,9 @@
     /// Counts evidence against the worker, once for each job.
     void note_trouble(const job_id& job, instant now);
     void note_success();
+    /// The worker is about to end: what runs there is stopped and its ends
+    /// are noted before its life is.
+    void retire(instant now);
 
     [[nodiscard]] bool is_usable(instant now) const;
     [[nodiscard]] int trouble() const;
@@ -81,6 +84,8 @@
                      std::uint64_t& next_call, owner_output& out);
     void advance_hold(instant now, std::uint64_t& next_call, owner_output& out);
     void conclude_lapsed(instant now, owner_output& out);
+    /// Ends the life of a worker that retires once nothing runs there.
+    void conclude_life(instant now, owner_output& out);
     std::uint64_t send(std::variant<start_call, stop_call, hold_call> what,
                        duration limit, instant now, std::uint64_t& next_call,
                        owner_output& out);
@@ -122,6 +127,11 @@
     bool hold_again_ = false;
     instant next_hold_{};
     std::uint64_t cursor_told_ = 0;
+    /// Set while the worker retires: its life ends then at the latest.
+    std::optional<instant> retire_until_;
+    /// It takes no calls any more.
+    bool is_gone_ = false;
+    instant next_life_end_{};
     /// Last end that was proposed, and when.
     std::uint64_t proposed_ends_ = 0;
     instant proposed_at_{};
--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -39,6 +39,7 @@
             state_.apply(item);
         if (!output.starts_.empty())
             owner_.batch_settled();
+        owner_.state_changed();
         return output.calls_;
     }
 
@@ -152,3 +153,60 @@
         CHECK_NOTHROW(pool.answer(call));
     CHECK_NOTHROW(pool.pass(50ms));
 }
+
+// sineira-visitas, workers that leave twice, seed 71014532: a run ended 8 ms
+// before its worker left, the end was dropped with the worker's life, and the
+// task ran again.
+TEST_CASE("the ends of a worker that leaves are noted before its life ends",
+          "[pool_owner]")
+{
+    owner_fixture pool;
+    job_id id = pool.submit("a", {pool_fixture::make_step(1, 1, false)});
+    pool.pass(10ms);
+    std::vector<worker_call> calls = pool.pass(10ms);
+    auto hold = owner_fixture::only<hold_call>(calls);
+    REQUIRE(hold.size() == 1);
+    pool.answer(owner_fixture::only<start_call>(calls).at(0));
+    REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
+    CHECK(owner_fixture::only<stop_call>(pool.pass(10ms)).size() == 1);
+    CHECK(pool.state_.workers().contains(pool_fixture::name_of(0)));
+    call_answer listing;
+    listing.ended_ = {{1, {{id, 0, 0, 0}, 1}, run_end::done, {}}};
+    pool.answer(hold[0], listing);
+    pool.pass(10ms);
+    pool.pass(10ms);
+    CHECK(pool.state_.workers().empty());
+    CHECK(pool.state_.find_job(id)->phase_ == job_phase::completed);
+}
+
+TEST_CASE("a worker that leaves and does not answer is not waited for long",
+          "[pool_owner]")
+{
+    owner_fixture pool;
+    pool.submit("a", {pool_fixture::make_step(1, 1, false)});
+    pool.pass(10ms);
+    pool.answer(owner_fixture::only<start_call>(pool.pass(10ms)).at(0));
+    REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
+    for (int i = 0; i < 11; ++i) {
+        for (const worker_call& call : pool.pass(100ms))
+            pool.lose(call);
+    }
+    CHECK(pool.state_.workers().empty());
+}
+
+// sineira-visitas, workers that leave: those with runs take no calls once they
+// have said so, and each second of waiting is one that their tasks lose.
+TEST_CASE("the life of a worker that leaves and takes no calls ends at once",
+          "[pool_owner]")
+{
+    owner_fixture pool;
+    pool.submit("a", {pool_fixture::make_step(1, 1, false)});
+    pool.pass(10ms);
+    pool.answer(owner_fixture::only<start_call>(pool.pass(10ms)).at(0));
+    REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
+    auto stop = owner_fixture::only<stop_call>(pool.pass(10ms));
+    REQUIRE(stop.size() == 1);
+    pool.owner_.take_result(stop[0].id_, call_lost{true}, pool.now_);
+    pool.pass(1ms);
+    CHECK(pool.state_.workers().empty());
+}
--- a/libs/pool/test/random_run_test.cpp
+++ b/libs/pool/test/random_run_test.cpp
@@ -20,6 +20,10 @@
 constexpr duration step_time = 10ms;
 constexpr duration fault_time = 40s;
 constexpr duration end_time = 400s;
+// Longer than any lease.
+constexpr duration lease_time = 8s;
+// Longer than any call.
+constexpr duration call_time = 2500ms;
 
 struct owner_slot
 {
@@ -114,11 +118,41 @@
         }
         if (chance(0.0008))
             workers_.at(any_worker()).restart(now_);
-        if (chance(0.0005)) {
+        if (chance(0.001)) {
             worker_name name = any_worker();
             workers_.at(name).info_.is_draining_ = true;
-            later(5s, [this, name] { workers_.at(name).restart(now_); });
+            later(5s, [this, name, life = workers_.at(name).info_.life_] {
+                leave(name, life, now_);
+            });
+        }
+    }
+
+    /// A worker that drains ends once the state says that its life is over;
+    /// without an answer it ends anyway.
+    void leave(const worker_name& name, std::int64_t life, instant since)
+    {
+        fake_worker& worker = workers_.at(name);
+        if (worker.info_.life_ != life)
+            return;
+        auto known = state_.workers().find(name);
+        bool is_over = known == state_.workers().end() ||
+                       known->second.info_.life_ != life;
+        // What ended unseen before may have been given up with its lease, and
+        // calls without an answer take their time.
+        bool was_calm = deposed_at_ < since &&
+                        cut_until_[name] < since - lease_time &&
+                        calls_lost_at_[name] < since - call_time;
+        if (is_over && was_calm)
+            check_left(worker);
+        if (is_over || now_ >= since + 3s) {
+            worker.restart(now_);
+            return;
         }
+        pool_owner* owner = find_owner(term_);
+        if (owner != nullptr && !is_cut(name))
+            owner->retire_worker(name, life, now_);
+        later(step_time,
+              [this, name, life, since] { leave(name, life, since); });
     }
 
     void submit()
@@ -161,6 +195,7 @@
                 });
             });
         }
+        deposed_at_ = now_;
         owner_slot next;
         next.term_ = ++term_;
         next.owner_ = std::make_unique<pool_owner>(state_, owner_timing{});
@@ -242,6 +277,7 @@
         bool cut = is_cut(call.worker_);
         bool late = lossy && !cut && chance(0.05);
         if (cut || late) {
+            calls_lost_at_[call.worker_] = now_;
             if (late)
                 later(std::chrono::milliseconds(2000 + pick(10000)),
                       [this, call] { deliver(call); });
@@ -318,6 +354,22 @@
         }
     }
 
+    // What a worker that left in order has done is not done again.
+    void check_left(const fake_worker& worker)
+    {
+        for (const listed_end& item : worker.ended_) {
+            const task_ref& at = item.run_.task_;
+            const job_record* job = state_.find_job(at.job_);
+            if (item.end_ != run_end::done || job == nullptr || job->is_final())
+                continue;
+            INFO(to_text(item.run_) << " on " << worker.info_.name_.str());
+            CHECK(job->occurrences_[at.occurrence_]
+                      .steps_[at.step_]
+                      .tasks_[at.index_]
+                      .is_done_);
+        }
+    }
+
     void note_done(const fake_worker& worker)
     {
         for (const listed_end& item : worker.ended_) {
@@ -381,6 +433,8 @@
     std::uint64_t term_ = 0;
     std::vector<job_id> submitted_;
     std::map<worker_name, instant> cut_until_;
+    instant deposed_at_{};
+    std::map<worker_name, instant> calls_lost_at_;
     std::set<task_ref> done_;
     std::priority_queue<event> events_;
     std::uint64_t next_event_ = 0;
