pool: the log says what room for a job costs others

Cause: the log named the runs that give way, not what is lost with them. Change: the event has the core-seconds of the decision.

--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -61,6 +61,8 @@
     run_ref run_;
     /// The job that is to have the room.
     job_id for_job_;
+    /// Core-seconds that are lost with everything that ends for it.
+    double lost_ = 0;
 };
 
 /// What to start and what to stop now.
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -146,7 +146,7 @@
             for (const victim::member& member : item.members_) {
                 if (!item.is_ending_)
                     plan_.stops_.push_back(
-                        {member.run_, unit.job_->order_.id_});
+                        {member.run_, unit.job_->order_.id_, where.cost_});
             }
             rooms_.release(index);
         }
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -3,6 +3,7 @@
 #include "worker_session.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dandelioncrank::pool {
 
@@ -302,9 +303,11 @@
         for (auto& item : sessions_)
             item.second->request_stop(order.run_);
         output_.events_.push_back(
-            {order.run_.task_.job_.str(), "run " + to_text(order.run_) +
-                                              " gives way to job " +
-                                              order.for_job_.str()});
+            {order.run_.task_.job_.str(),
+             "run " + to_text(order.run_) + " gives way to job " +
+                 order.for_job_.str() + ", which costs " +
+                 std::to_string(std::llround(order.lost_)) +
+                 " core-seconds in all"});
     }
     for (start_run& order : result.starts_) {
         step_key step{order.job_, order.occurrence_, order.step_};
