pool: progress that was seen outlives the worker it was made on

Cause: workers list the saved progress of what runs with every look, and the owner kept only what came with a listed end. Change: the end of a run that its worker did not list, and the end of a life, carry the progress that the owner saw last; a listed end of the same run goes before it. It is in the command that ends the run, so no gang starts with two values. Tests: pool_owner, two cases (three ways); the first fails without it.

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -293,6 +293,8 @@
                 {"life", std::to_string(info.life_)},
                 {"address", info.address_},
                 {"draining", info.is_draining_ ? "yes" : "no"}});
+    for (pool::end_life& item : owner_->lives_before(info))
+        group_->enqueue(std::move(item), nullptr);
     group_->enqueue(pool::put_worker{info}, [this, info, clock_ms, done,
                                              on_answer](proposal_end end,
                                                         pool::pool_reply) {
@@ -329,7 +331,7 @@
         schedule_owner();
         return;
     }
-    group_->enqueue(pool::end_life{worker, life},
+    group_->enqueue(pool::end_life{worker, life, {}},
                     [this, on_answer](proposal_end end, pool::pool_reply) {
                         on_answer(
                             end == proposal_end::committed
--- a/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
@@ -58,16 +58,31 @@
     }
 };
 
+/// Progress that a run had saved when it was last seen.
+struct seen_progress
+{
+    run_ref run_;
+    std::string saved_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(run_, saved_);
+    }
+};
+
 /// One life of a worker has ended, and all that ran in it.
 struct end_life
 {
     worker_name worker_;
     std::int64_t life_ = 0;
+    /// What its runs had saved, as far as it was seen.
+    std::vector<seen_progress> progress_;
 
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(worker_, life_);
+        archive(worker_, life_, progress_);
     }
 };
 
@@ -122,11 +137,13 @@
     std::int64_t life_ = 0;
     run_ref run_;
     run_end end_ = run_end::lost;
+    /// Progress as last seen; empty for none.
+    std::string saved_;
 
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(worker_, life_, run_, end_);
+        archive(worker_, life_, run_, end_, saved_);
     }
 };
 
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -78,6 +78,10 @@
     /// does not deal with that life.
     bool retire_worker(const worker_name& worker, std::int64_t life,
                        instant now);
+    /// What goes to the log before a worker's announcement: the ends of the
+    /// older lives of its name and address, with the progress seen in them.
+    [[nodiscard]] std::vector<end_life>
+    lives_before(const worker_info& announced) const;
     void take_result(std::uint64_t call, const call_result& result,
                      instant now);
     /// Call after each change of the state and before the next tick().
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -26,11 +26,26 @@
     }
 };
 
+/// Progress that a task goes on from.
+struct saved_progress_record
+{
+    std::string value_;
+    /// The run that saved it, and whether its worker listed it with its end.
+    std::uint32_t run_ = 0;
+    bool is_listed_ = false;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(value_, run_, is_listed_);
+    }
+};
+
 struct step_record
 {
     std::vector<task_record> tasks_;
     /// Saved progress by task; one for all under index 0 in a gang.
-    std::map<std::uint32_t, std::string> saved_;
+    std::map<std::uint32_t, saved_progress_record> saved_;
     /// Runs of the gang that failed, and the last one of them.
     std::uint32_t gang_failures_ = 0;
     std::uint32_t last_failed_run_ = 0;
@@ -168,7 +183,9 @@
     [[nodiscard]] bool may_start(const job_record& job,
                                  const start_run& command) const;
     void end_run(const worker_name& worker, const run_ref& run, run_end end,
-                 const std::string& saved);
+                 const saved_progress_record& saved);
+    static void keep_progress(step_record& step, std::uint32_t index,
+                              const saved_progress_record& saved);
     void count_failure(job_record& job, step_record& step, const run_ref& run);
     void finish(job_record& job, job_phase phase);
     void review(const job_id& id);
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -104,6 +104,20 @@
     return is_known;
 }
 
+std::vector<end_life>
+pool_owner::lives_before(const worker_info& announced) const
+{
+    std::vector<end_life> result;
+    for (const auto& [name, session] : sessions_) {
+        if (!is_current(*session) || session->life() >= announced.life_)
+            continue;
+        const worker_info& known = state_.worker_at(name).info_;
+        if (name == announced.name_ || known.address_ == announced.address_)
+            result.push_back(session->end_of_life());
+    }
+    return result;
+}
+
 void pool_owner::take_result(std::uint64_t call, const call_result& result,
                              instant now)
 {
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -127,7 +127,7 @@
         if (info.life_ == known.life_ && known.is_draining_)
             info.is_draining_ = true;
         if (info.life_ > known.life_)
-            handle(end_life{info.name_, known.life_});
+            handle(end_life{info.name_, known.life_, {}});
     }
     // One process at a time has an address: an older life there is over.
     std::vector<end_life> replaced;
@@ -136,7 +136,7 @@
             continue;
         if (record.info_.life_ > info.life_)
             return pool_reply::rejected;
-        replaced.push_back({name, record.info_.life_});
+        replaced.push_back({name, record.info_.life_, {}});
     }
     for (const end_life& life : replaced)
         handle(life);
@@ -150,8 +150,12 @@
     if (found == workers_.end() || found->second.info_.life_ != command.life_)
         return pool_reply::unchanged;
     std::set<run_ref> lost = runs_on(command.worker_);
+    std::map<run_ref, std::string> seen;
+    for (const seen_progress& item : command.progress_)
+        seen[item.run_] = item.saved_;
     for (const run_ref& run : lost)
-        end_run(command.worker_, run, run_end::lost, {});
+        end_run(command.worker_, run, run_end::lost,
+                {seen[run], run.run_, false});
     workers_.erase(command.worker_);
     ended_lives_[command.worker_] = command.life_;
     if (ended_lives_.size() > max_ended_lives)
@@ -233,7 +237,8 @@
             continue;
         found->second.noted_ends_ = item.sequence_;
         if (runs_on(command.worker_).contains(item.run_))
-            end_run(command.worker_, item.run_, item.end_, item.saved_);
+            end_run(command.worker_, item.run_, item.end_,
+                    {item.saved_, item.run_.run_, true});
     }
     return pool_reply::applied;
 }
@@ -246,12 +251,13 @@
                    runs_on(command.worker_).contains(command.run_);
     if (!current)
         return pool_reply::unchanged;
-    end_run(command.worker_, command.run_, command.end_, {});
+    end_run(command.worker_, command.run_, command.end_,
+            {command.saved_, command.run_.run_, false});
     return pool_reply::applied;
 }
 
 void pool_state::end_run(const worker_name& worker, const run_ref& run,
-                         run_end end, const std::string& saved)
+                         run_end end, const saved_progress_record& saved)
 {
     worker_runs& there = runs_[worker];
     there.runs_.erase(run);
@@ -266,8 +272,8 @@
     task.worker_ = {};
     task.life_ = 0;
     --step.running_;
-    if (!saved.empty())
-        step.saved_[spec.is_gang_ ? 0 : run.task_.index_] = saved;
+    if (!saved.value_.empty())
+        keep_progress(step, spec.is_gang_ ? 0 : run.task_.index_, saved);
     if (end == run_end::done && !spec.is_lasting_) {
         task.is_done_ = true;
         // One member's end stands for the whole gang.
@@ -281,6 +287,18 @@
     review(run.task_.job_);
 }
 
+// What was last seen of a run may be older than what another member of its
+// gang has listed.
+void pool_state::keep_progress(step_record& step, std::uint32_t index,
+                               const saved_progress_record& saved)
+{
+    saved_progress_record& known = step.saved_[index];
+    bool is_older =
+        known.is_listed_ && known.run_ == saved.run_ && !saved.is_listed_;
+    if (!is_older)
+        known = saved;
+}
+
 void pool_state::count_failure(job_record& job, step_record& step,
                                const run_ref& run)
 {
@@ -386,7 +404,7 @@
         job.occurrences_.at(task.occurrence_).steps_.at(task.step_);
     bool is_gang = job.order_.steps_.at(task.step_).is_gang_;
     auto found = step.saved_.find(is_gang ? 0 : task.index_);
-    return found == step.saved_.end() ? std::string() : found->second;
+    return found == step.saved_.end() ? std::string() : found->second.value_;
 }
 
 bool pool_state::is_wanted(const run_ref& run) const
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -211,6 +211,16 @@
     }
 }
 
+end_life pool_owner::worker_session::end_of_life() const
+{
+    end_life result{worker_, life_, {}};
+    for (const auto& [run, entry] : runs_) {
+        if (!entry.saved_.empty())
+            result.progress_.push_back({run, entry.saved_});
+    }
+    return result;
+}
+
 void pool_owner::worker_session::conclude_life(instant now, owner_output& out)
 {
     if (!retire_until_ || now < next_life_end_)
@@ -220,7 +230,7 @@
     if (!is_over)
         return;
     next_life_end_ = now + proposal_time;
-    out.observations_.push_back(end_life{worker_, life_});
+    out.observations_.push_back(end_of_life());
     out.events_.push_back(
         {worker_.str(), "worker " + worker_.str() + " has left with " +
                             std::to_string(runs_.size()) + " runs"});
@@ -229,7 +239,10 @@
 void pool_owner::worker_session::conclude(const run_ref& run, run_end end,
                                           owner_output& out)
 {
-    out.observations_.push_back(conclude_run{worker_, life_, run, end});
+    auto seen = runs_.find(run);
+    std::string saved = seen == runs_.end() ? "" : seen->second.saved_;
+    out.observations_.push_back(
+        conclude_run{worker_, life_, run, end, std::move(saved)});
     out.events_.push_back(
         {run.task_.job_.str(), "run " + to_text(run) + " on " + worker_.str() +
                                    " is over: " + to_text(end)});
@@ -352,7 +365,7 @@
     bool other = answer.verdict_ == call_verdict::other_life ||
                  (answer.life_ != 0 && answer.life_ != life_);
     if (other) {
-        out.observations_.push_back(end_life{worker_, life_});
+        out.observations_.push_back(end_of_life());
         out.events_.push_back(
             {worker_.str(), "worker " + worker_.str() + " has begun a new " +
                                 "life; what ran before is lost"});
@@ -522,6 +535,8 @@
         entry.listed_at_ = now;
         entry.phase_ = run_phase::confirmed;
         entry.percent_ = row.percent_;
+        if (!row.saved_.empty())
+            entry.saved_ = row.saved_;
     }
     for (const listed_end& item : answer.ended_)
         listed.insert(item.run_);
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -43,6 +43,8 @@
     /// Runs that report no progress though they should.
     [[nodiscard]] std::vector<run_ref> stalled(instant now) const;
     [[nodiscard]] std::vector<std::uint64_t> open_calls() const;
+    /// The end of this life, with the progress that was seen in it.
+    [[nodiscard]] end_life end_of_life() const;
 
   private:
     enum class run_phase
@@ -69,6 +71,8 @@
         instant next_try_{};
         instant started_at_{};
         int percent_ = 0;
+        /// Progress as last listed; it outlives the worker.
+        std::string saved_;
         /// When it was last listed, and when its progress last rose.
         instant listed_at_{};
         instant progress_at_{};
--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -147,7 +147,7 @@
     pool.pass(10ms);
     std::vector<worker_call> calls = pool.pass(10ms);
     REQUIRE(calls.size() == 2);
-    pool.state_.apply(end_life{pool_fixture::name_of(0), 1});
+    pool.state_.apply(end_life{pool_fixture::name_of(0), 1, {}});
     pool.owner_.state_changed();
     for (const worker_call& call : calls)
         CHECK_NOTHROW(pool.answer(call));
@@ -210,3 +210,55 @@
     pool.pass(1ms);
     CHECK(pool.state_.workers().empty());
 }
+
+// Zone cuts and workers that are gone: what their runs had saved was listed
+// with each look and was thrown away with them.
+TEST_CASE("progress that was seen outlives the worker it was made on",
+          "[pool_owner]")
+{
+    owner_fixture pool;
+    step_spec step = pool_fixture::make_step(1, 1, false);
+    step.saves_progress_ = true;
+    job_id id = pool.submit("a", {step});
+    pool.pass(10ms);
+    std::vector<worker_call> calls = pool.pass(10ms);
+    pool.answer(owner_fixture::only<start_call>(calls).at(0));
+    call_answer listing;
+    listing.running_ = {{{{id, 0, 0, 0}, 1}, "half", 50}};
+    pool.answer(owner_fixture::only<hold_call>(calls).at(0), listing);
+    pool.pass(10ms);
+
+    SECTION("the worker begins a new life")
+    {
+        worker_info next =
+            pool.state_.worker_at(pool_fixture::name_of(0)).info_;
+        next.life_ = 2;
+        for (const end_life& item : pool.owner_.lives_before(next))
+            pool.state_.apply(item);
+    }
+    SECTION("its lease is over")
+    {
+        pool.now_ += 20s;
+        pool.pass(10ms);
+    }
+    CHECK(pool.state_.runs_on(pool_fixture::name_of(0)).empty());
+    CHECK(pool.state_.saved_progress({id, 0, 0, 0}) == "half");
+}
+
+TEST_CASE("progress that was only seen does not replace what was listed",
+          "[pool_owner]")
+{
+    pool_fixture pool(2);
+    step_spec step = pool_fixture::make_step(2, 8, true);
+    step.saves_progress_ = true;
+    job_id id = pool.submit("a", {step});
+    pool.plan_and_start();
+    worker_name first =
+        pool.state_.find_job(id)->occurrences_[0].steps_[0].tasks_[0].worker_;
+    worker_name second =
+        pool.state_.find_job(id)->occurrences_[0].steps_[0].tasks_[1].worker_;
+    pool.state_.apply(note_ends{
+        first, 1, {{1, {{id, 0, 0, 0}, 1}, run_end::broken, "late"}}});
+    pool.state_.apply(end_life{second, 1, {{{{id, 0, 0, 1}, 1}, "early"}}});
+    CHECK(pool.state_.saved_progress({id, 0, 0, 0}) == "late");
+}
--- a/libs/pool/test/pool_state_test.cpp
+++ b/libs/pool/test/pool_state_test.cpp
@@ -27,7 +27,7 @@
     pool_fixture pool(1);
     worker_name name = pool_fixture::name_of(0);
     worker_info info = pool.state_.workers().at(name).info_;
-    pool.state_.apply(end_life{name, info.life_});
+    pool.state_.apply(end_life{name, info.life_, {}});
     CHECK(pool.state_.apply(put_worker{info}) == pool_reply::rejected);
     ++info.life_;
     CHECK(pool.state_.apply(put_worker{info}) == pool_reply::applied);
@@ -38,7 +38,7 @@
     pool_fixture pool(2);
     job_id id = pool.submit("a", {pool_fixture::make_step(2, 8, true)});
     pool.plan_and_start();
-    pool.state_.apply(end_life{pool_fixture::name_of(1), 1});
+    pool.state_.apply(end_life{pool_fixture::name_of(1), 1, {}});
     pool_state copy;
     copy.restore(pool.state_.snapshot());
     CHECK(copy.snapshot() == pool.state_.snapshot());
