--- a/libs/control/include/dandelioncrank/control/control_settings.hpp
+++ b/libs/control/include/dandelioncrank/control/control_settings.hpp
@@ -20,6 +20,8 @@
     zone_name zone_;
     /// Where the other daemons of the group reach this one.
     host_port internal_address_;
+    /// Where this daemon listens for them, if that is another address.
+    host_port internal_listen_;
     /// Where workers and operators call; port 0 on entry hosts.
     host_port control_address_;
     /// Where clients call; port 0 on control hosts.
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -148,7 +148,8 @@
         group_->schedule_flush();
     };
     server_ = std::make_unique<peer_server>(
-        settings_.internal_address_,
+        settings_.internal_listen_.port_ != 0 ? settings_.internal_listen_
+                                              : settings_.internal_address_,
         [this](const QByteArray& bytes, const peer_server::reply& reply) {
             take_message(bytes, reply);
         });
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -11,6 +11,8 @@
 ABSL_FLAG(std::string, internal_address, "",
           "IP:PORT for the other daemons of the group; the port is the same "
           "on every host");
+ABSL_FLAG(std::string, internal_listen, "",
+          "IP:PORT to listen on for them, if a relay has the address above");
 ABSL_FLAG(std::string, control_address, "",
           "IP:PORT for workers and operators; the port is the same on every "
           "control host");
@@ -62,10 +64,10 @@
 {
     return {"DANDELIONCRANK",
             {"host", "zone", "internal_address", "control_address",
-             "client_address", "ready_address", "metrics_address", "seeds",
-             "data_dir", "bootstrap", "tolerated_hosts", "catch_up_time",
-             "stop_time", "longest_lease", "announce_interval", "body_kib",
-             "log_level"}};
+             "internal_listen", "client_address", "ready_address",
+             "metrics_address", "seeds", "data_dir", "bootstrap",
+             "tolerated_hosts", "catch_up_time", "stop_time", "longest_lease",
+             "announce_interval", "body_kib", "log_level"}};
 }
 
 duration in_range(const std::string& name, absl::Duration value, duration least,
@@ -92,6 +94,8 @@
 {
     settings.internal_address_ = parse_host_port(
         absl::GetFlag(FLAGS_internal_address), "--internal_address", faults);
+    settings.internal_listen_ = optional_address(
+        absl::GetFlag(FLAGS_internal_listen), "internal_listen", faults);
     settings.control_address_ = optional_address(
         absl::GetFlag(FLAGS_control_address), "control_address", faults);
     settings.client_address_ = optional_address(
