http, platform: connections keep within the descriptors of the process

Each worker's connection for announcements was kept for 60 s, and one to each worker ever called for good, also to workers that were gone. Ruled out: memory (67 of 384 MB). Change: one budget for a process (--descriptors, from the platform's limits): from 60 % on connections close with their answers and idle ones at once, from 85 % none is opened or taken; a call that finds no descriptor is known not to have left.

--- a/libs/control/include/dandelioncrank/control/control_settings.hpp
+++ b/libs/control/include/dandelioncrank/control/control_settings.hpp
@@ -36,6 +36,8 @@
     /// Time that a new control host has until it counts; a lost host's vote
     /// is another's before then.
     duration catch_up_time_ = std::chrono::seconds(4);
+    /// Descriptors that the process may have.
+    int descriptors_ = 1024;
     /// First start of the whole group.
     bool bootstrap_ = false;
     /// Time a process has between the order to stop and its end.
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -28,6 +28,8 @@
 ABSL_FLAG(bool, bootstrap, false, "this is the group's first start");
 ABSL_FLAG(int, tolerated_hosts, 1,
           "control hosts that may be lost at once with their disks");
+ABSL_FLAG(int, descriptors, 1024,
+          "descriptors that the process may have; connections keep below");
 ABSL_FLAG(absl::Duration, catch_up_time, absl::Seconds(4),
           "time from a control host's start until it is to count");
 ABSL_FLAG(absl::Duration, stop_time, absl::Seconds(6),
@@ -66,8 +68,8 @@
             {"host", "zone", "internal_address", "control_address",
              "internal_listen", "client_address", "ready_address",
              "metrics_address", "seeds", "data_dir", "bootstrap",
-             "tolerated_hosts", "catch_up_time", "stop_time", "longest_lease",
-             "announce_interval", "body_kib", "log_level"}};
+             "tolerated_hosts", "descriptors", "catch_up_time", "stop_time",
+             "longest_lease", "announce_interval", "body_kib", "log_level"}};
 }
 
 duration in_range(const std::string& name, absl::Duration value, duration least,
@@ -185,6 +187,11 @@
                    std::to_string(body_kib) + " is out of range",
                    "write 1 to 65536");
     settings.limits_.body_bytes_ = static_cast<std::size_t>(body_kib) * 1024;
+    settings.descriptors_ = absl::GetFlag(FLAGS_descriptors);
+    if (settings.descriptors_ < 64)
+        faults.add({"--descriptors"},
+                   std::to_string(settings.descriptors_) + " is too few",
+                   "write 64 or more");
     int tolerated = absl::GetFlag(FLAGS_tolerated_hosts);
     if (tolerated < 0 || tolerated > 3)
         faults.add({"--tolerated_hosts"},
--- a/libs/http/include/dandelioncrank/http/http_server.hpp
+++ b/libs/http/include/dandelioncrank/http/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dandelioncrank/http/descriptor_budget.hpp"
 #include "dandelioncrank/http/server_connection.hpp"
 #include "dandelioncrank/http/tcp_listener.hpp"
 
@@ -49,6 +50,10 @@
     /// Takes no new connection and ends each open one after its next answer.
     void stop_accepting();
 
+    /// Counts its connections there from now on, and keeps to the budget. It
+    /// has to outlive this server.
+    void share(descriptor_budget& budget);
+
     /// Decorates answers to requests that could not be read.
     std::function<void(http_response&)> on_refusal_;
 
@@ -58,6 +63,7 @@
     void drop(server_connection* connection);
 
     http_limits limits_;
+    descriptor_budget* budget_ = nullptr;
     handler on_request_;
     std::unique_ptr<tcp_listener> listener_;
     std::map<server_connection*, std::unique_ptr<server_connection>>
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -26,13 +26,25 @@
 
 http_server::~http_server()
 {
-    for (auto& item : connections_)
+    for (auto& item : connections_) {
         item.second->on_finished_ = nullptr;
+        if (budget_ != nullptr)
+            budget_->closed();
+    }
+}
+
+void http_server::share(descriptor_budget& budget)
+{
+    budget_ = &budget;
+    for (std::size_t i = 0; i < connections_.size(); ++i)
+        budget_->opened();
 }
 
 void http_server::accept(int descriptor)
 {
-    if (stopping_ || connections_.size() >= limits_.connections_) {
+    bool is_full = connections_.size() >= limits_.connections_ ||
+                   (budget_ != nullptr && budget_->is_spent());
+    if (stopping_ || is_full) {
         ::close(descriptor);
         return;
     }
@@ -45,10 +57,14 @@
     connection->on_finished_ = [this, key] { drop(key); };
     connection->on_refusal_ = on_refusal_;
     connections_.emplace(key, std::move(connection));
+    if (budget_ != nullptr)
+        budget_->opened();
 }
 
 void http_server::handle(server_connection& connection, http_request request)
 {
+    if (budget_ != nullptr && budget_->is_scarce())
+        connection.close_after_answer();
     QPointer<server_connection> target(&connection);
     std::uint64_t number = connection.request_number();
     // Shared because both the handler and the connection hold it, and
@@ -76,6 +92,8 @@
     // The connection is on the call stack now.
     found->second.release()->deleteLater();
     connections_.erase(found);
+    if (budget_ != nullptr)
+        budget_->closed();
 }
 
 std::size_t http_server::requests_in_flight() const
--- a/libs/http/test/server_test.cpp
+++ b/libs/http/test/server_test.cpp
@@ -287,3 +287,44 @@
     }
     CHECK(server.connections() == 1);
 }
+
+// A pool of 3,000 workers, sweep of the grown arreola-rol: connections that
+// were kept open took all descriptors, and nothing more was written or sent.
+TEST_CASE("a server closes with its answers while descriptors are scarce",
+          "[server]")
+{
+    application();
+    descriptor_budget budget(10);
+    http_server server(any_port, http_limits{},
+                       [](const http_request&, const auto& answer) {
+                           (*answer)(json_response(200, "{}"));
+                       });
+    server.share(budget);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::vector<std::unique_ptr<raw_caller>> kept;
+    for (int i = 0; i < 5; ++i) {
+        kept.push_back(std::make_unique<raw_caller>(server.port()));
+        kept.back()->socket_.write(request);
+        run_until([&] { return !kept.back()->socket_.input().empty(); });
+        CHECK(!kept.back()->ended_);
+    }
+    CHECK(budget.open() == 5);
+    raw_caller last(server.port());
+    CHECK(last.exchange(request).find("200") != std::string::npos);
+    kept.clear();
+    run_until([&] { return budget.open() == 0; });
+}
+
+TEST_CASE("a server takes no connection once descriptors are spent", "[server]")
+{
+    application();
+    descriptor_budget budget(10);
+    for (int i = 0; i < 9; ++i)
+        budget.opened();
+    http_server server(any_port, http_limits{}, [](const auto&, const auto&) {
+        FAIL("nothing is to arrive");
+    });
+    server.share(budget);
+    raw_caller caller(server.port());
+    CHECK(caller.exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n").empty());
+}
