--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -1,6 +1,5 @@
 #include "dandelioncrank/control/control_host.hpp"
 
-#include "announcement_desk.hpp"
 #include "client_service.hpp"
 #include "dandelioncrank/control/member_planner.hpp"
 #include "dandelioncrank/core/overloaded.hpp"
@@ -8,6 +7,7 @@
 #include "dandelioncrank/replica/replica.hpp"
 #include "group_log.hpp"
 #include "peer_book.hpp"
+#include "worker_service.hpp"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -31,8 +31,8 @@
 constexpr duration hello_time = 400ms;
 constexpr duration lost_hello_time = 100ms;
 constexpr duration hello_limit = 400ms;
-// A control host that greeted within this time may be a worker's home.
-constexpr duration home_fresh_time = 1500ms;
+// A control host that greeted within this time is there for workers.
+constexpr duration host_fresh_time = 1500ms;
 // An entry host that has not asked for so long is gone.
 constexpr duration entry_gone_time = 2s;
 // Pause that each entry host adds: the leader answers 500 a second at most,
@@ -50,10 +50,7 @@
     implementation(control_host& host, const control_settings& settings,
                    worker_caller call_worker, metric_registry& metrics);
 
-    void announce_worker(const pool::worker_info& info, std::int64_t clock_ms,
-                         std::uint64_t sequence, answer_handler on_answer);
-    void remove_worker(const worker_name& worker, std::int64_t life,
-                       answer_handler on_answer);
+    [[nodiscard]] worker_service& workers() { return *workers_; }
     void put_config(const pool::pool_config& config, answer_handler on_answer);
     void read_config(answer_handler on_answer);
     void add_seeds(const std::vector<host_port>& seeds);
@@ -74,8 +71,6 @@
     void take_over();
     void schedule_owner();
     void run_owner();
-    /// Answers workers that leave once their lives are over in the state.
-    void settle_leaves();
     void carry_out(pool::owner_output output);
     void review_members(instant now);
     void tick();
@@ -90,8 +85,8 @@
     /// Where workers and operators reach the host of an internal address.
     [[nodiscard]] std::string
     control_address_of(const std::string& internal) const;
-    /// Where a worker is to announce itself.
-    [[nodiscard]] std::string home_of(const worker_name& worker);
+    /// Where workers reach the other control hosts that are there.
+    [[nodiscard]] std::vector<std::string> present_hosts() const;
     /// Passes on what was acknowledged in the leader's name.
     void tell_leader(instant now);
     std::chrono::milliseconds entry_pause(const std::string& entry);
@@ -110,11 +105,8 @@
     bool taking_over_ = false;
     bool owner_scheduled_ = false;
     instant owner_ran_at_{};
-    std::unique_ptr<announcement_desk> desk_;
+    std::unique_ptr<worker_service> workers_;
     std::map<std::string, instant> entries_heard_at_;
-    /// Workers that wait for the end of their lives.
-    std::map<std::pair<worker_name, std::int64_t>, std::vector<answer_handler>>
-        leaves_;
     std::map<voter_name, instant> greeted_at_;
     std::map<std::string, zone_name> zones_;
     instant members_reviewed_at_{};
@@ -161,7 +153,11 @@
     group_->on_flush_ = [this] { schedule_owner(); };
     clients_ = std::make_unique<client_service>(*replica_, *group_, metrics_);
     owner_ = std::make_unique<pool::pool_owner>(state(), settings_.timing_);
-    desk_ = std::make_unique<announcement_desk>(state());
+    workers_ = std::make_unique<worker_service>(
+        *replica_, *group_, *owner_, settings_.control_address_.to_text());
+    workers_->elsewhere_ = [this] { return elsewhere(); };
+    workers_->present_hosts_ = [this] { return present_hosts(); };
+    workers_->on_due_ = [this] { schedule_owner(); };
     replica_->on_role_changed_ = [this] { role_changed(); };
     replica_->on_applied_ = [this] {
         owner_->state_changed();
@@ -255,36 +251,28 @@
                                           const peer_server::reply& reply)
 {
     reply(to_wire(hello_answer{}));
-    if (!leads())
-        return;
-    for (const worker_sign& sign : item.signs_)
-        owner_->hear_worker(sign.worker_, sign.life_, sign.clock_ms_,
-                            steady_now());
+    workers_->take_signs(item, steady_now());
     schedule_owner();
 }
 
 void control_host::implementation::tell_leader(instant now)
 {
-    std::vector<worker_sign> batch = desk_->take_batch(now);
+    std::vector<worker_sign> batch = workers_->take_batch(now);
     std::string leader = leader_address();
     // Without a leader the workers' next announcements serve as well.
     if (!batch.empty() && !leader.empty() && !leads())
         peers_.post(leader, worker_signs{std::move(batch)});
 }
 
-std::string control_host::implementation::home_of(const worker_name& worker)
+std::vector<std::string> control_host::implementation::present_hosts() const
 {
-    std::string own = settings_.control_address_.to_text();
-    if (!desk_->spreads())
-        return own;
     std::vector<std::string> hosts;
     instant now = steady_now();
     for (const auto& [who, at] : greeted_at_) {
-        if (now - at < home_fresh_time)
+        if (now - at < host_fresh_time)
             hosts.push_back(control_address_of(address_of(who)));
     }
-    std::string home = announcement_desk::home_of(worker, hosts);
-    return home.empty() ? own : home;
+    return hosts;
 }
 
 void control_host::implementation::greet_others(instant now)
@@ -342,88 +330,6 @@
 
 // --- Workers and operators
 
-void control_host::implementation::announce_worker(
-    const pool::worker_info& info, std::int64_t clock_ms,
-    std::uint64_t sequence, answer_handler on_answer)
-{
-    bool is_known = desk_->is_known(info);
-    bool speaks_for_leader =
-        is_known && desk_->spreads() && !leader_address().empty();
-    if (!leads() && !speaks_for_leader) {
-        on_answer(elsewhere());
-        return;
-    }
-    // A worker stays with a host that acknowledges its announcements.
-    control_answer done{
-        control_outcome::done, settings_.control_address_.to_text(), {}};
-    if (leads())
-        done.leader_ = home_of(info.name_);
-    if (desk_->is_late(info, sequence)) {
-        on_answer(done);
-        return;
-    }
-    if (!leads()) {
-        desk_->keep(info, clock_ms);
-        on_answer(done);
-        return;
-    }
-    if (is_known) {
-        owner_->hear_worker(info.name_, info.life_, clock_ms, steady_now());
-        on_answer(done);
-        return;
-    }
-    log_.event("Worker is new or has changed.",
-               {{"worker", info.name_.str()},
-                {"life", std::to_string(info.life_)},
-                {"address", info.address_},
-                {"draining", info.is_draining_ ? "yes" : "no"}});
-    for (pool::end_life& item : owner_->lives_before(info))
-        group_->enqueue(std::move(item), nullptr);
-    group_->enqueue(pool::put_worker{info}, [this, info, clock_ms, done,
-                                             on_answer](proposal_end end,
-                                                        pool::pool_reply) {
-        if (end != proposal_end::committed) {
-            desk_->forget(info.name_);
-            on_answer(elsewhere());
-            return;
-        }
-        // This runs while the entry is applied, before the owner was told.
-        owner_->state_changed();
-        owner_->meet_worker(info.name_, steady_now());
-        owner_->hear_worker(info.name_, info.life_, clock_ms, steady_now());
-        on_answer(done);
-    });
-}
-
-void control_host::implementation::remove_worker(const worker_name& worker,
-                                                 std::int64_t life,
-                                                 answer_handler on_answer)
-{
-    if (!leads()) {
-        on_answer(elsewhere());
-        return;
-    }
-    auto found = state().workers().find(worker);
-    if (life == 0 && found != state().workers().end())
-        life = found->second.info_.life_;
-    log_.event("Worker leaves.",
-               {{"worker", worker.str()}, {"life", std::to_string(life)}});
-    // The worker ends with the answer, and ends that nobody has read then are
-    // lost with it.
-    if (owner_->retire_worker(worker, life, steady_now())) {
-        leaves_[{worker, life}].push_back(on_answer);
-        schedule_owner();
-        return;
-    }
-    group_->enqueue(pool::end_life{worker, life, {}},
-                    [this, on_answer](proposal_end end, pool::pool_reply) {
-                        on_answer(
-                            end == proposal_end::committed
-                                ? control_answer{control_outcome::done, {}, {}}
-                                : elsewhere());
-                    });
-}
-
 void control_host::implementation::put_config(const pool::pool_config& config,
                                               answer_handler on_answer)
 {
@@ -463,25 +369,6 @@
     });
 }
 
-void control_host::implementation::settle_leaves()
-{
-    auto open = std::move(leaves_);
-    leaves_.clear();
-    for (auto& [key, answers] : open) {
-        const auto& [worker, life] = key;
-        auto found = state().workers().find(worker);
-        bool is_over = found == state().workers().end() ||
-                       found->second.info_.life_ != life;
-        if (!is_over && owned_term_ != 0) {
-            leaves_.emplace(key, std::move(answers));
-            continue;
-        }
-        control_answer done{control_outcome::done, {}, {}};
-        for (const answer_handler& answer : answers)
-            answer(is_over ? done : elsewhere());
-    }
-}
-
 // --- Owning the pool
 
 void control_host::implementation::role_changed()
@@ -493,7 +380,7 @@
                    {{"term", std::to_string(owned_term_)}});
         owner_->end();
         owned_term_ = 0;
-        settle_leaves();
+        workers_->settle_leaves(false);
     }
     group_->schedule_flush();
 }
@@ -524,7 +411,7 @@
 {
     if (owned_term_ == 0 || !leads())
         return;
-    settle_leaves();
+    workers_->settle_leaves(true);
     owner_ran_at_ = steady_now();
     owner_->tick(owner_ran_at_, wall_milliseconds());
     carry_out(owner_->take_output());
@@ -703,14 +590,13 @@
                                    std::uint64_t sequence,
                                    answer_handler on_answer)
 {
-    implementation_->announce_worker(info, clock_ms, sequence,
-                                     std::move(on_answer));
+    implementation_->workers().announce(info, clock_ms, sequence, on_answer);
 }
 
 void control_host::remove_worker(const worker_name& worker, std::int64_t life,
                                  answer_handler on_answer)
 {
-    implementation_->remove_worker(worker, life, std::move(on_answer));
+    implementation_->workers().remove(worker, life, on_answer);
 }
 
 void control_host::put_config(const pool::pool_config& config,
