pool: headroom does not keep a pool idle; the log names the workers

Cause: the headroom for guarantees is a share of what they promise, also where they promise more than the workers that are left: with 16 accelerators and guarantees of 384 no job of priority 2 started in an empty pool (test, 0 of 10). Its logs have another reason: task 0.0.6 is a long one, its run 3 was on a worker that was cut off and crashed behind the cut, and run 4 was under way when the next step was said to be able to run. Whether run 3 had ended unseen is not in the log, which did not name a run's worker; now it does. Change: with 40 % or more free, headroom holds nothing back; "is placed" names up to three workers. Tests: placement_planner, one case that failed first.

--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -27,8 +27,8 @@
 // idle room anywhere: stops and short tasks clear a rack within that time.
 constexpr duration rack_patience = 1500ms;
 // Share of the accelerators that is free when work may run slower than it
-// could, in percent: the room is then nobody else's. Below the half at which
-// work that waits counts as forgotten.
+// could, or into what is kept free, in percent: the room is then nobody
+// else's. Below the half at which work that waits counts as forgotten.
 constexpr std::int64_t idle_percent = 40;
 
 /// Makes one plan.
@@ -89,6 +89,11 @@
         if (since == view_.waiting_since_.end() ||
             view_.now_ - since->second < rack_patience)
             return false;
+        return is_much_idle();
+    }
+
+    [[nodiscard]] bool is_much_idle() const
+    {
         return rooms_.free_accelerators() * 100 >=
                rooms_.all_accelerators() * idle_percent;
     }
@@ -97,7 +102,8 @@
     {
         int priority = unit.job_->queue_.priority_;
         std::int64_t need = unit.accelerators();
-        if (priority <= 0 || need == 0)
+        // Guarantees may add up to more than the workers that are left.
+        if (priority <= 0 || need == 0 || is_much_idle())
             return true;
         auto level = std::min<std::size_t>(static_cast<std::size_t>(priority),
                                            headroom_percent.size());
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -35,6 +35,18 @@
 // Share of the workers that may be kept out for failing jobs, in percent.
 constexpr std::size_t max_quarantined_percent = 30;
 
+// Workers that a log line names, at most.
+constexpr std::size_t max_named_workers = 3;
+
+std::string name_workers(const start_run& order)
+{
+    std::string text = " on";
+    for (std::size_t i = 0;
+         i < std::min(order.places_.size(), max_named_workers); ++i)
+        text += ' ' + order.places_[i].worker_.str();
+    return text + (order.places_.size() > max_named_workers ? " ..." : "");
+}
+
 } // namespace
 
 std::string to_text(call_verdict value)
@@ -372,7 +384,7 @@
             {order.job_.str(),
              "run " + std::to_string(order.run_) + " of step " +
                  std::to_string(order.step_) + " is placed, tasks " +
-                 std::to_string(order.places_.size()) +
+                 std::to_string(order.places_.size()) + name_workers(order) +
                  (is_spread ? ", slower over several racks" : "")});
         output_.starts_.push_back(std::move(order));
     }
--- a/libs/pool/test/placement_planner_test.cpp
+++ b/libs/pool/test/placement_planner_test.cpp
@@ -129,6 +129,18 @@
     CHECK(pool.plan().starts_.empty());
 }
 
+// Guarantees of a whole pool, of which few workers are left.
+TEST_CASE("what is kept free for guarantees does not keep a pool idle",
+          "[placement_planner]")
+{
+    pool_fixture pool(2);
+    pool.guarantee("t", 384);
+    pool.submit("a", {pool_fixture::make_step(16, 1, false)}, 2, "u");
+    placement_plan plan = pool.plan_and_start();
+    // It stops where less than two fifths of the room are left.
+    CHECK(plan.starts_.size() == 10);
+}
+
 TEST_CASE("what waits is named with its reason", "[placement_planner]")
 {
     pool_fixture pool(1);
