peer, control, node: messages and answers of other daemons are read once

Change: read_message and read_answer in libs/peer. A message of another version is now logged like one that cannot be read; before it was only counted.

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -179,23 +179,17 @@
 void control_host::implementation::take_message(const QByteArray& bytes,
                                                 const peer_server::reply& reply)
 {
-    control_message message;
-    try {
-        message = from_wire<control_message>(bytes);
-    } catch (const wire_error& error) {
-        metrics_.count("bad_peer_messages");
-        log_.warning(std::string("A message could not be read: ") +
-                     error.what() + ".");
-        reply(std::nullopt);
-        return;
-    }
-    if (message.version_ != control_version) {
-        metrics_.count("bad_peer_messages");
+    auto message = read_message<control_message>(
+        bytes, control_version, [this](const std::string& fault) {
+            metrics_.count("bad_peer_messages");
+            log_.warning("A message could not be read: " + fault + ".");
+        });
+    if (!message) {
         reply(std::nullopt);
         return;
     }
     std::visit([&](const auto& item) { handle(item, reply); },
-               message.payload_);
+               message->payload_);
 }
 
 void control_host::implementation::handle(const hello& item,
--- a/libs/control/src/peer_book.hpp
+++ b/libs/control/src/peer_book.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control_messages.hpp"
+#include "dandelioncrank/peer/peer_codec.hpp"
 #include "dandelioncrank/peer/peer_link.hpp"
 
 #include <functional>
@@ -35,15 +36,8 @@
              std::function<void(std::optional<Answer>)> on_answer)
     {
         send(address, std::move(payload), limit,
-             [on_answer](std::optional<QByteArray> bytes) {
-                 std::optional<Answer> answer;
-                 try {
-                     if (bytes)
-                         answer = from_wire<Answer>(*bytes);
-                 } catch (const wire_error&) {
-                     answer.reset();
-                 }
-                 on_answer(std::move(answer));
+             [on_answer](const std::optional<QByteArray>& bytes) {
+                 on_answer(read_answer<Answer>(bytes));
              });
     }
 
--- a/libs/node/src/daemon_node.cpp
+++ b/libs/node/src/daemon_node.cpp
@@ -201,22 +201,16 @@
 void daemon_node::implementation::take_message(const QByteArray& bytes,
                                                const peer_server::reply& reply)
 {
-    peer_message message;
-    try {
-        message = from_wire<peer_message>(bytes);
-    } catch (const wire_error& error) {
-        metrics_.count("bad_peer_messages");
-        log_.warning(std::string("A message could not be read: ") +
-                     error.what() + ".");
-        reply(std::nullopt);
-        return;
-    }
-    if (message.version_ != peer_version) {
-        metrics_.count("bad_peer_messages");
+    auto message = read_message<peer_message>(
+        bytes, peer_version, [this](const std::string& fault) {
+            metrics_.count("bad_peer_messages");
+            log_.warning("A message could not be read: " + fault + ".");
+        });
+    if (!message) {
         reply(std::nullopt);
         return;
     }
-    handle(message, reply);
+    handle(*message, reply);
 }
 
 void daemon_node::implementation::handle(const peer_message& message,
