pool: three mechanisms have a test that breaks without them

Cause: reading the change again. The random runs' check of workers that leave could not fail: all left 5 s after they began to drain, when next to nothing ran there. The log of what waits and the staggered looks of a new owner had no test.

--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -50,6 +50,17 @@
         owner_.take_result(call.id_, said, now_);
     }
 
+    /// Hands a job of one task in and has its start confirmed; the look that
+    /// went with it is still open.
+    worker_call begin_run(const step_spec& step)
+    {
+        submit("a", {step});
+        pass(10ms);
+        std::vector<worker_call> calls = pass(10ms);
+        answer(only<start_call>(calls).at(0));
+        return only<hold_call>(calls).at(0);
+    }
+
     void lose(const worker_call& call)
     {
         owner_.take_result(call.id_, call_lost{false}, now_);
@@ -161,18 +172,14 @@
           "[pool_owner]")
 {
     owner_fixture pool;
-    job_id id = pool.submit("a", {pool_fixture::make_step(1, 1, false)});
-    pool.pass(10ms);
-    std::vector<worker_call> calls = pool.pass(10ms);
-    auto hold = owner_fixture::only<hold_call>(calls);
-    REQUIRE(hold.size() == 1);
-    pool.answer(owner_fixture::only<start_call>(calls).at(0));
+    worker_call hold = pool.begin_run(pool_fixture::make_step(1, 1, false));
+    job_id id("a");
     REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
     CHECK(owner_fixture::only<stop_call>(pool.pass(10ms)).size() == 1);
     CHECK(pool.state_.workers().contains(pool_fixture::name_of(0)));
     call_answer listing;
     listing.ended_ = {{1, {{id, 0, 0, 0}, 1}, run_end::done, {}}};
-    pool.answer(hold[0], listing);
+    pool.answer(hold, listing);
     pool.pass(10ms);
     pool.pass(10ms);
     CHECK(pool.state_.workers().empty());
@@ -183,9 +190,7 @@
           "[pool_owner]")
 {
     owner_fixture pool;
-    pool.submit("a", {pool_fixture::make_step(1, 1, false)});
-    pool.pass(10ms);
-    pool.answer(owner_fixture::only<start_call>(pool.pass(10ms)).at(0));
+    (void)pool.begin_run(pool_fixture::make_step(1, 1, false));
     REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
     for (int i = 0; i < 11; ++i) {
         for (const worker_call& call : pool.pass(100ms))
@@ -200,9 +205,7 @@
           "[pool_owner]")
 {
     owner_fixture pool;
-    pool.submit("a", {pool_fixture::make_step(1, 1, false)});
-    pool.pass(10ms);
-    pool.answer(owner_fixture::only<start_call>(pool.pass(10ms)).at(0));
+    (void)pool.begin_run(pool_fixture::make_step(1, 1, false));
     REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
     auto stop = owner_fixture::only<stop_call>(pool.pass(10ms));
     REQUIRE(stop.size() == 1);
@@ -219,13 +222,11 @@
     owner_fixture pool;
     step_spec step = pool_fixture::make_step(1, 1, false);
     step.saves_progress_ = true;
-    job_id id = pool.submit("a", {step});
-    pool.pass(10ms);
-    std::vector<worker_call> calls = pool.pass(10ms);
-    pool.answer(owner_fixture::only<start_call>(calls).at(0));
+    worker_call hold = pool.begin_run(step);
+    job_id id("a");
     call_answer listing;
     listing.running_ = {{{{id, 0, 0, 0}, 1}, "half", 50}};
-    pool.answer(owner_fixture::only<hold_call>(calls).at(0), listing);
+    pool.answer(hold, listing);
     pool.pass(10ms);
 
     SECTION("the worker begins a new life")
@@ -262,3 +263,48 @@
     pool.state_.apply(end_life{second, 1, {{{{id, 0, 0, 1}, 1}, "early"}}});
     CHECK(pool.state_.saved_progress({id, 0, 0, 0}) == "late");
 }
+
+TEST_CASE("the log says why work waits, after a second and not at each plan",
+          "[pool_owner]")
+{
+    pool_fixture pool(1);
+    pool_owner owner(pool.state_, owner_timing{});
+    instant now(1h);
+    owner.begin(1, now);
+    owner.hear_worker(pool_fixture::name_of(0), 1, 0, now);
+    // No worker has so much.
+    pool.submit("a", {pool_fixture::make_step(1, 9, false)});
+    int told = 0;
+    for (int i = 0; i < 30; ++i) {
+        now += 100ms;
+        owner.tick(now, 0);
+        for (const owner_event& event : owner.take_output().events_) {
+            bool waits =
+                event.sentence_ == "step 0 waits: no worker has the room";
+            told += waits;
+            if (waits)
+                CHECK(now >= instant(1h) + 1s);
+        }
+    }
+    CHECK(told == 1);
+}
+
+// The sweep to 3,000 workers: a new owner asked all of them at once.
+TEST_CASE("a new owner asks idle workers for their clocks one by one",
+          "[pool_owner]")
+{
+    pool_fixture pool(60);
+    pool_owner owner(pool.state_, owner_timing{});
+    instant now(1h);
+    owner.begin(1, now);
+    std::size_t asked = 0;
+    for (int i = 0; i < 20; ++i) {
+        now += 10ms;
+        owner.tick(now, 0);
+        std::size_t at_once = owner.take_output().calls_.size();
+        // Looks are due every sweep, some 40 ms apart.
+        CHECK(at_once <= 50);
+        asked += at_once;
+    }
+    CHECK(asked == 60);
+}
--- a/libs/pool/test/random_run_test.cpp
+++ b/libs/pool/test/random_run_test.cpp
@@ -121,9 +121,11 @@
         if (chance(0.001)) {
             worker_name name = any_worker();
             workers_.at(name).info_.is_draining_ = true;
-            later(5s, [this, name, life = workers_.at(name).info_.life_] {
-                leave(name, life, now_);
-            });
+            // Some leave while their tasks run.
+            later(std::chrono::milliseconds(200 + pick(5000)),
+                  [this, name, life = workers_.at(name).info_.life_] {
+                      leave(name, life, now_);
+                  });
         }
     }
 
