control: answers name the configuration that decided them; entry hosts check their order

The leader's line had the version at the time of the answer, not the one that decided; nothing said whether a call was a repeat, by which call a known id was stored, how often an entry host had asked, or that its answers contradict each other. What was ruled out: logging every read: half of all calls are reads. Change: answers carry the deciding version; the leader's line has it with its log index, attempt, repeat and the call that stored the job (kept in the job's record); an entry host compares answers by arrival and version, writes one line for each contradiction and counts it; submits and cancels that a configuration overtook are counted. No decision changes.

--- a/libs/control/include/dandelioncrank/control/client_call.hpp
+++ b/libs/control/include/dandelioncrank/control/client_call.hpp
@@ -32,12 +32,14 @@
     std::string fault_;
     /// An earlier attempt at this call may have been carried out.
     bool is_repeat_ = false;
+    /// How often the entry host has asked a leader, this time included.
+    std::uint32_t attempt_ = 0;
 
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(request_, verb_, host_, path_, key_, order_, fault_,
-                is_repeat_);
+        archive(request_, verb_, host_, path_, key_, order_, fault_, is_repeat_,
+                attempt_);
     }
 };
 
@@ -71,12 +73,14 @@
     duration retry_after_{};
     /// Where the leader is, if that is known.
     std::string leader_;
+    /// Configuration by which the call was decided; 0 if it was not.
+    std::uint64_t config_version_ = 0;
 
     template <class Archive>
     void fields(Archive& archive)
     {
         archive(kind_, fault_, has_begun_, phase_, waiting_jobs_, retry_after_,
-                leader_);
+                leader_, config_version_);
     }
 };
 
--- a/libs/control/src/client_service.cpp
+++ b/libs/control/src/client_service.cpp
@@ -25,140 +25,156 @@
         return;
     }
     group_.confirm([this, call, on_answer](bool granted) {
+        open_call item{call, on_answer, state().config().version_,
+                       replica_.applied()};
         if (granted)
-            serve_confirmed(call, on_answer);
+            serve_confirmed(item);
         else
-            finish(call, client_outcome_kind::not_leader, on_answer);
+            finish(item, client_outcome_kind::not_leader);
     });
 }
 
-void client_service::serve_confirmed(const client_call& call,
-                                     const answer_handler& on_answer)
+void client_service::serve_confirmed(const open_call& item)
 {
+    const client_call& call = item.call_;
     const pool::pool_config& config = state().config();
     if (config.version_ == 0) {
         client_answer answer;
         answer.kind_ = client_outcome_kind::unavailable;
         answer.retry_after_ = retry_time;
-        finish(call, answer, on_answer);
+        finish(item, answer);
         return;
     }
     // The first attempt of a submit counts, even if its key is gone by now.
     bool was_stored = call.is_repeat_ && call.order_ &&
                       state().find_job(call.order_->id_) != nullptr;
     if (was_stored) {
-        finish(call, client_outcome_kind::done, on_answer);
+        finish(item, client_outcome_kind::done);
         return;
     }
     const pool::queue_route* route = config.find_route(call.host_, call.path_);
     if (route == nullptr)
-        finish(call, client_outcome_kind::unknown_route, on_answer);
+        finish(item, client_outcome_kind::unknown_route);
     else if (!route->is_public_ && !config.find_team(call.key_))
-        finish(call, client_outcome_kind::unknown_key, on_answer);
+        finish(item, client_outcome_kind::unknown_key);
     else
-        serve_routed(call, *route, on_answer);
+        serve_routed(item, *route);
 }
 
-void client_service::serve_routed(const client_call& call,
-                                  const pool::queue_route& route,
-                                  const answer_handler& on_answer)
+void client_service::serve_routed(const open_call& item,
+                                  const pool::queue_route& route)
 {
+    const client_call& call = item.call_;
     client_answer answer;
     answer.kind_ = client_outcome_kind::done;
     if (call.verb_ == client_verb::count_waiting) {
         if (call.path_ != route.prefix_)
             answer.kind_ = client_outcome_kind::unknown_job;
         answer.waiting_jobs_ = state().waiting_jobs(route.policy_.name_);
-        finish(call, answer, on_answer);
+        finish(item, answer);
         return;
     }
     if (call.verb_ == client_verb::submit) {
-        submit(call, route, on_answer);
+        submit(item, route);
         return;
     }
     job_id id(call.path_.substr(route.prefix_.size()));
     const pool::job_record* job = state().find_job(id);
     if (job == nullptr || job->queue_.name_ != route.policy_.name_) {
-        finish(call, client_outcome_kind::unknown_job, on_answer);
+        finish(item, client_outcome_kind::unknown_job);
         return;
     }
     if (call.verb_ == client_verb::cancel) {
-        cancel(call, id, on_answer);
+        cancel(item, id);
         return;
     }
     answer.has_begun_ = job->has_begun_;
     answer.phase_ = job->phase_;
-    finish(call, answer, on_answer);
+    finish(item, answer);
 }
 
-void client_service::submit(const client_call& call,
-                            const pool::queue_route& route,
-                            const answer_handler& on_answer)
+void client_service::submit(const open_call& item,
+                            const pool::queue_route& route)
 {
+    const client_call& call = item.call_;
     if (!call.order_) {
         client_answer answer;
         answer.kind_ = client_outcome_kind::invalid;
         answer.fault_ = call.fault_;
-        finish(call, answer, on_answer);
+        finish(item, answer);
         return;
     }
     if (state().find_job(call.order_->id_) != nullptr) {
-        finish(call, client_outcome_kind::done, on_answer);
+        finish(item, client_outcome_kind::done);
         return;
     }
     team_name team =
         state().config().find_team(call.key_).value_or(team_name());
     pool::accept_job command{*call.order_, route.policy_, team,
-                             wall_milliseconds()};
+                             wall_milliseconds(), call.request_};
     group_.enqueue(std::move(command),
-                   [this, call, on_answer](proposal_end end, pool::pool_reply) {
+                   [this, item](proposal_end end, pool::pool_reply) {
                        auto kind = client_outcome_kind::done;
                        if (end == proposal_end::not_taken)
                            kind = client_outcome_kind::not_leader;
                        else if (end == proposal_end::unsure)
                            kind = client_outcome_kind::unsure;
-                       finish(call, kind, on_answer);
+                       finish(item, kind);
                    });
 }
 
-void client_service::cancel(const client_call& call, const job_id& id,
-                            const answer_handler& on_answer)
+void client_service::cancel(const open_call& item, const job_id& id)
 {
     group_.enqueue(pool::cancel_job{id},
-                   [this, call, on_answer](proposal_end end, pool::pool_reply) {
+                   [this, item](proposal_end end, pool::pool_reply) {
                        bool committed = end == proposal_end::committed;
-                       finish(call,
-                              committed ? client_outcome_kind::done
-                                        : client_outcome_kind::unsure,
-                              on_answer);
+                       finish(item, committed ? client_outcome_kind::done
+                                              : client_outcome_kind::unsure);
                    });
 }
 
-void client_service::finish(const client_call& call, client_outcome_kind kind,
-                            const answer_handler& on_answer)
+void client_service::finish(const open_call& item, client_outcome_kind kind)
 {
     client_answer answer;
     answer.kind_ = kind;
-    finish(call, answer, on_answer);
+    finish(item, answer);
 }
 
-void client_service::finish(const client_call& call,
-                            const client_answer& answer,
-                            const answer_handler& on_answer)
+void client_service::finish(const open_call& item, client_answer answer)
 {
-    metrics_.count("client_calls_" + to_text(call.verb_));
+    metrics_.count("client_calls_" + to_text(item.call_.verb_));
+    if (answer.kind_ != client_outcome_kind::not_leader)
+        answer.config_version_ = item.config_version_;
+    log_answer(item, answer);
+    item.on_answer_(answer);
+}
+
+void client_service::log_answer(const open_call& item,
+                                const client_answer& answer)
+{
+    const client_call& call = item.call_;
+    std::uint64_t version_now = state().config().version_;
     bool changes =
         call.verb_ == client_verb::submit || call.verb_ == client_verb::cancel;
-    if (changes || answer.kind_ != client_outcome_kind::done)
-        log_.event("Client call " + to_text(answer.kind_) + ".",
-                   {{"request", call.request_},
-                    {"verb", to_text(call.verb_)},
-                    {"path", call.path_},
-                    {"config", std::to_string(state().config().version_)},
-                    {"term", std::to_string(replica_.status().term_)},
-                    {"applied", std::to_string(replica_.applied())},
-                    {"fault", answer.fault_}});
-    on_answer(answer);
+    if (changes && version_now != item.config_version_)
+        metrics_.count("client_calls_overtaken_by_config");
+    if (!changes && answer.kind_ == client_outcome_kind::done)
+        return;
+    const pool::job_record* known =
+        call.order_ ? state().find_job(call.order_->id_) : nullptr;
+    log_.event("Client call " + to_text(answer.kind_) + ".",
+               {{"request", call.request_},
+                {"verb", to_text(call.verb_)},
+                {"path", call.path_},
+                {"attempt", std::to_string(call.attempt_)},
+                {"repeat", call.is_repeat_ ? "yes" : "no"},
+                {"decided_by_config", std::to_string(item.config_version_)},
+                {"decided_at", std::to_string(item.applied_)},
+                {"config", std::to_string(version_now)},
+                {"term", std::to_string(replica_.status().term_)},
+                {"applied", std::to_string(replica_.applied())},
+                {"stored_by", known != nullptr ? known->accepted_by_ : ""},
+                {"fault", answer.fault_}});
 }
 
 } // namespace dandelioncrank::control
--- a/libs/control/src/client_service.hpp
+++ b/libs/control/src/client_service.hpp
@@ -25,18 +25,22 @@
     void serve(const client_call& call, answer_handler on_answer);
 
   private:
-    void serve_confirmed(const client_call& call,
-                         const answer_handler& on_answer);
-    void serve_routed(const client_call& call, const pool::queue_route& route,
-                      const answer_handler& on_answer);
-    void submit(const client_call& call, const pool::queue_route& route,
-                const answer_handler& on_answer);
-    void cancel(const client_call& call, const job_id& id,
-                const answer_handler& on_answer);
-    void finish(const client_call& call, const client_answer& answer,
-                const answer_handler& on_answer);
-    void finish(const client_call& call, client_outcome_kind kind,
-                const answer_handler& on_answer);
+    /// A call on its way, and the state in which it was decided.
+    struct open_call
+    {
+        client_call call_;
+        answer_handler on_answer_;
+        std::uint64_t config_version_ = 0;
+        log_index applied_ = 0;
+    };
+
+    void serve_confirmed(const open_call& item);
+    void serve_routed(const open_call& item, const pool::queue_route& route);
+    void submit(const open_call& item, const pool::queue_route& route);
+    void cancel(const open_call& item, const job_id& id);
+    void finish(const open_call& item, client_outcome_kind kind);
+    void finish(const open_call& item, client_answer answer);
+    void log_answer(const open_call& item, const client_answer& answer);
 
     [[nodiscard]] const pool::pool_state& state() const
     {
--- a/libs/control/src/entry_host.cpp
+++ b/libs/control/src/entry_host.cpp
@@ -1,5 +1,6 @@
 #include "dandelioncrank/control/entry_host.hpp"
 
+#include "answer_order.hpp"
 #include "peer_book.hpp"
 
 #include <QJsonDocument>
@@ -62,12 +63,14 @@
                      const std::optional<client_answer>& answer);
     void retry(const std::shared_ptr<attempt>& item);
     void finish(attempt& item, const client_answer& said);
+    void check_order(const attempt& item, const client_answer& answer);
     void set_leader(const std::string& address);
 
     part_log log_{"entry"};
     control_settings settings_;
     metric_registry& metrics_;
     peer_book peers_;
+    answer_order order_;
     std::string leader_;
     instant leader_heard_at_{};
     bool is_configured_ = false;
@@ -205,6 +208,7 @@
         retry(item);
         return;
     }
+    ++item->call_.attempt_;
     std::string target = leader_;
     duration limit = std::min(attempt_time, item->deadline_ - now);
     peers_.ask<client_answer>(
@@ -263,10 +267,37 @@
                     {"path", item.call_.path_},
                     {"leader", leader_},
                     {"ms", std::to_string(to_milliseconds(taken))},
+                    {"attempts", std::to_string(item.call_.attempt_)},
+                    {"config", std::to_string(answer.config_version_)},
                     {"in_doubt", item.call_.is_repeat_ ? "yes" : "no"}});
+    check_order(item, answer);
     item.on_answer_(answer);
 }
 
+// Callers that compare answers see a configuration go back if calls are
+// decided in another order than the one in which they came.
+void entry_host::implementation::check_order(const attempt& item,
+                                             const client_answer& answer)
+{
+    if (answer.config_version_ == 0)
+        return;
+    auto other = order_.note(
+        {item.call_.request_, item.began_at_, answer.config_version_},
+        steady_now());
+    if (!other)
+        return;
+    metrics_.count("answers_out_of_order");
+    duration apart = item.began_at_ - other->came_at_;
+    log_.event("Answered out of order.",
+               {{"request", item.call_.request_},
+                {"verb", to_text(item.call_.verb_)},
+                {"config", std::to_string(answer.config_version_)},
+                {"attempts", std::to_string(item.call_.attempt_)},
+                {"other", other->request_},
+                {"other_config", std::to_string(other->config_version_)},
+                {"came_later_by_ms", std::to_string(to_milliseconds(apart))}});
+}
+
 std::string entry_host::implementation::describe() const
 {
     QJsonObject object;
--- a/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
@@ -16,11 +16,13 @@
     team_name team_;
     /// Wall time of the host that led when the job came.
     std::int64_t accepted_ms_ = 0;
+    /// Name of the client's call, as in the logs.
+    std::string request_;
 
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(order_, queue_, team_, accepted_ms_);
+        archive(order_, queue_, team_, accepted_ms_, request_);
     }
 };
 
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -90,6 +90,8 @@
     queue_policy queue_;
     team_name team_;
     std::int64_t accepted_ms_ = 0;
+    /// The client's call that stored it.
+    std::string accepted_by_;
     job_phase phase_ = job_phase::open;
     /// Whether any task was started.
     bool has_begun_ = false;
@@ -103,8 +105,8 @@
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(order_, queue_, team_, accepted_ms_, phase_, has_begun_,
-                occurrences_);
+        archive(order_, queue_, team_, accepted_ms_, accepted_by_, phase_,
+                has_begun_, occurrences_);
     }
 };
 
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -81,6 +81,7 @@
     job.queue_ = command.queue_;
     job.team_ = command.team_;
     job.accepted_ms_ = command.accepted_ms_;
+    job.accepted_by_ = command.request_;
     for (std::uint32_t k = 0; k < std::max(1U, command.order_.repeats_); ++k)
         job.occurrences_.push_back(make_occurrence(command.order_));
     jobs_.emplace(id, std::move(job));
