control: a known job is not served again under a key that was taken away

Cause: serve_confirmed answered 'done' to a repeated submit before it looked at route and key, if the id was stored, by whomever. A call is a repeat when the entry host's first attempt got no answer, as when the leader is lost; clients also send accepted jobs again seconds after their 2xx. Both together skipped the configuration in force. Change: the job's record names the call that stored it; only that call's own repeat is exempt. Test: control.client_service, two cases; the first failed before (two checks, 'done' for a key and a route that were gone), passes. run_until is shared by two test programs.

--- a/libs/control/include/dandelioncrank/control/client_call.hpp
+++ b/libs/control/include/dandelioncrank/control/client_call.hpp
@@ -21,7 +21,7 @@
 /// A client's call as an entry host has read it.
 struct client_call
 {
-    /// Names the call in the logs of all hosts.
+    /// Names the call in the logs of all hosts; never used for another one.
     std::string request_;
     client_verb verb_ = client_verb::show;
     std::string host_;
--- a/libs/control/src/client_service.cpp
+++ b/libs/control/src/client_service.cpp
@@ -45,10 +45,7 @@
         finish(item, answer);
         return;
     }
-    // The first attempt of a submit counts, even if its key is gone by now.
-    bool was_stored = call.is_repeat_ && call.order_ &&
-                      state().find_job(call.order_->id_) != nullptr;
-    if (was_stored) {
+    if (is_stored_by(call)) {
         finish(item, client_outcome_kind::done);
         return;
     }
@@ -61,6 +58,17 @@
         serve_routed(item, *route);
 }
 
+// An earlier attempt of this call counts, even if its key is gone by now. A
+// job that another call has stored says nothing about this one: clients send
+// accepted jobs again.
+bool client_service::is_stored_by(const client_call& call) const
+{
+    if (!call.is_repeat_ || !call.order_)
+        return false;
+    const pool::job_record* job = state().find_job(call.order_->id_);
+    return job != nullptr && job->accepted_by_ == call.request_;
+}
+
 void client_service::serve_routed(const open_call& item,
                                   const pool::queue_route& route)
 {
--- a/libs/control/src/client_service.hpp
+++ b/libs/control/src/client_service.hpp
@@ -35,6 +35,7 @@
     };
 
     void serve_confirmed(const open_call& item);
+    [[nodiscard]] bool is_stored_by(const client_call& call) const;
     void serve_routed(const open_call& item, const pool::queue_route& route);
     void submit(const open_call& item, const pool::queue_route& route);
     void cancel(const open_call& item, const job_id& id);
--- /dev/null
+++ b/libs/control/test/client_service_test.cpp
@@ -0,0 +1,141 @@
+// Clients' calls at a leader, with its log on a disk.
+#include "client_service.hpp"
+#include "dandelioncrank/control/member_planner.hpp"
+#include "event_loop.hpp"
+
+#include <QTemporaryDir>
+
+#include <catch2/catch.hpp>
+
+using namespace dandelioncrank;
+using namespace dandelioncrank::control;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string job_name = "0123456789abcdef";
+
+/// A group of one control host, which leads.
+class single_leader
+{
+  public:
+    single_leader()
+        : replica_(folder_.path().toStdString(), make_origin(), 1, steady_now(),
+                   [](const consensus_message&) {})
+    {
+        replica_.tick(steady_now() + 1min);
+        replica_.tick(steady_now());
+        REQUIRE(replica_.is_leader());
+    }
+
+    /// Queues a configuration with one route; nothing has read it yet.
+    void send_config(std::uint64_t version, const std::set<std::string>& keys,
+                     const std::string& prefix = "/urgent/")
+    {
+        pool::pool_config config;
+        config.version_ = version;
+        pool::queue_route route;
+        route.host_ = "a.example";
+        route.prefix_ = prefix;
+        route.policy_.name_ = "urgent";
+        config.routes_.push_back(route);
+        config.teams_[team_name("bakers")].keys_ = keys;
+        log_.enqueue(pool::put_config{config}, nullptr);
+    }
+
+    void configure(std::uint64_t version, const std::set<std::string>& keys,
+                   const std::string& prefix = "/urgent/")
+    {
+        send_config(version, keys, prefix);
+        REQUIRE(
+            run_until([&] { return state().config().version_ == version; }));
+    }
+
+    [[nodiscard]] static client_call make_submit(const std::string& request)
+    {
+        client_call call;
+        call.request_ = request;
+        call.verb_ = client_verb::submit;
+        call.host_ = "a.example";
+        call.path_ = "/urgent/" + job_name;
+        call.key_ = "key-1";
+        call.order_.emplace();
+        call.order_->id_ = job_id(job_name);
+        call.order_->steps_.resize(1);
+        return call;
+    }
+
+    client_answer serve(const client_call& call)
+    {
+        std::optional<client_answer> answer;
+        clients_.serve(call,
+                       [&answer](const client_answer& said) { answer = said; });
+        REQUIRE(run_until([&] { return answer.has_value(); }));
+        return *answer;
+    }
+
+    [[nodiscard]] const pool::pool_state& state() const
+    {
+        return replica_.machine().state();
+    }
+
+  private:
+    static replica_origin make_origin()
+    {
+        test_application();
+        voter_name self = make_identity("127.0.0.1:1", "0");
+        replica_origin origin;
+        origin.identity_ = self;
+        origin.members_.voters_.insert(self);
+        return origin;
+    }
+
+    QTemporaryDir folder_;
+    metric_registry metrics_;
+    replica<pool_machine> replica_;
+    group_log log_{replica_, metrics_};
+    client_service clients_{replica_, log_, metrics_};
+};
+
+} // namespace
+
+// CONFIG, arreola-rol-grown: a client sent an accepted job again after its key
+// had been taken away, the leader was lost, and the second attempt was served.
+TEST_CASE("a known job is not served again under a key that was taken away",
+          "[client_service]")
+{
+    single_leader leader;
+    leader.configure(1, {"key-1"});
+    REQUIRE(leader.serve(single_leader::make_submit("entry-1-1")).kind_ ==
+            client_outcome_kind::done);
+    client_call again = single_leader::make_submit("entry-2-1");
+    again.is_repeat_ = true;
+    SECTION("its key is gone")
+    {
+        leader.configure(2, {"key-2"});
+        CHECK(leader.serve(again).kind_ == client_outcome_kind::unknown_key);
+    }
+    SECTION("its route is gone")
+    {
+        leader.configure(2, {"key-1"}, "/other/");
+        CHECK(leader.serve(again).kind_ == client_outcome_kind::unknown_route);
+    }
+    SECTION("both are there")
+    {
+        leader.configure(2, {"key-1", "key-2"});
+        CHECK(leader.serve(again).kind_ == client_outcome_kind::done);
+    }
+}
+
+// REFUSED 7, arreola-rol-grown trouble-3.
+TEST_CASE("a call that has stored its job is served though its key is gone",
+          "[client_service]")
+{
+    single_leader leader;
+    leader.configure(1, {"key-1"});
+    client_call call = single_leader::make_submit("entry-1-1");
+    REQUIRE(leader.serve(call).kind_ == client_outcome_kind::done);
+    leader.configure(2, {"key-2"});
+    call.is_repeat_ = true;
+    CHECK(leader.serve(call).kind_ == client_outcome_kind::done);
+}
--- /dev/null
+++ b/libs/control/test/event_loop.cpp
@@ -0,0 +1,36 @@
+#include "event_loop.hpp"
+
+#include "dandelioncrank/logging/part_log.hpp"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QTimer>
+
+namespace dandelioncrank {
+
+QCoreApplication& test_application()
+{
+    static int count = 1;
+    static char name[] = "test";
+    static char* words[] = {name, nullptr};
+    static QCoreApplication instance(count, words);
+    static bool is_logging = [] {
+        start_logging("test", log_level::error);
+        return true;
+    }();
+    (void)is_logging;
+    return instance;
+}
+
+bool run_until(const std::function<bool()>& holds)
+{
+    test_application();
+    QTimer wake;
+    wake.start(5);
+    instant give_up = steady_now() + hang_time;
+    while (!holds() && steady_now() < give_up)
+        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+    return holds();
+}
+
+} // namespace dandelioncrank
