pool, control: a job is accepted and cancelled by the configuration before it in the log

Cause: check, then act. The leader looked up route and key in the state that it had applied and proposed accept_job with the policy copied from there. Whatever was in the log by then, or was proposed in the same turn, was applied first. The same in cancel_job, which checked nothing when applied. What was ruled out: rereading the configuration before the proposal; a change may still come between proposal and place in the log. Change: accept_job and cancel_job carry what the call shows (host, path, key); the state machine decides where the command stands in the log and replies unknown-route or unknown-key; policy and team come from that configuration. pool_config::decide is the one copy of the rule; the leader uses it to refuse early. The answer is the command's reply.

--- a/libs/control/include/dandelioncrank/control/client_call.hpp
+++ b/libs/control/include/dandelioncrank/control/client_call.hpp
@@ -24,9 +24,7 @@
     /// Names the call in the logs of all hosts; never used for another one.
     std::string request_;
     client_verb verb_ = client_verb::show;
-    std::string host_;
-    std::string path_;
-    std::string key_;
+    pool::queue_access access_;
     /// Of a submit; without one, fault_ tells why.
     std::optional<pool::job_order> order_;
     std::string fault_;
@@ -38,8 +36,7 @@
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(request_, verb_, host_, path_, key_, order_, fault_, is_repeat_,
-                attempt_);
+        archive(request_, verb_, access_, order_, fault_, is_repeat_, attempt_);
     }
 };
 
--- a/libs/control/src/client_service.cpp
+++ b/libs/control/src/client_service.cpp
@@ -11,6 +11,22 @@
 // When a client should come back that came before the first configuration.
 constexpr duration retry_time = 1s;
 
+client_outcome_kind outcome_of(pool::pool_reply reply)
+{
+    switch (reply) {
+    case pool::pool_reply::applied:
+    case pool::pool_reply::unchanged:
+        break;
+    case pool::pool_reply::rejected:
+        return client_outcome_kind::unknown_job;
+    case pool::pool_reply::unknown_route:
+        return client_outcome_kind::unknown_route;
+    case pool::pool_reply::unknown_key:
+        return client_outcome_kind::unknown_key;
+    }
+    return client_outcome_kind::done;
+}
+
 } // namespace
 
 void client_service::serve(const client_call& call, answer_handler on_answer)
@@ -49,13 +65,13 @@
         finish(item, client_outcome_kind::done);
         return;
     }
-    const pool::queue_route* route = config.find_route(call.host_, call.path_);
-    if (route == nullptr)
+    pool::access_decision access = config.decide(call.access_);
+    if (access.verdict_ == pool::access_verdict::unknown_route)
         finish(item, client_outcome_kind::unknown_route);
-    else if (!route->is_public_ && !config.find_team(call.key_))
+    else if (access.verdict_ == pool::access_verdict::unknown_key)
         finish(item, client_outcome_kind::unknown_key);
     else
-        serve_routed(item, *route);
+        serve_routed(item, *access.route_);
 }
 
 // An earlier attempt of this call counts, even if its key is gone by now. A
@@ -76,24 +92,24 @@
     client_answer answer;
     answer.kind_ = client_outcome_kind::done;
     if (call.verb_ == client_verb::count_waiting) {
-        if (call.path_ != route.prefix_)
+        if (call.access_.path_ != route.prefix_)
             answer.kind_ = client_outcome_kind::unknown_job;
         answer.waiting_jobs_ = state().waiting_jobs(route.policy_.name_);
         finish(item, answer);
         return;
     }
     if (call.verb_ == client_verb::submit) {
-        submit(item, route);
+        submit(item);
         return;
     }
-    job_id id(call.path_.substr(route.prefix_.size()));
+    job_id id(call.access_.path_.substr(route.prefix_.size()));
     const pool::job_record* job = state().find_job(id);
     if (job == nullptr || job->queue_.name_ != route.policy_.name_) {
         finish(item, client_outcome_kind::unknown_job);
         return;
     }
     if (call.verb_ == client_verb::cancel) {
-        cancel(item, id);
+        change(item, pool::cancel_job{id, call.access_});
         return;
     }
     answer.has_begun_ = job->has_begun_;
@@ -101,8 +117,7 @@
     finish(item, answer);
 }
 
-void client_service::submit(const open_call& item,
-                            const pool::queue_route& route)
+void client_service::submit(const open_call& item)
 {
     const client_call& call = item.call_;
     if (!call.order_) {
@@ -116,28 +131,29 @@
         finish(item, client_outcome_kind::done);
         return;
     }
-    team_name team =
-        state().config().find_team(call.key_).value_or(team_name());
-    pool::accept_job command{*call.order_, route.policy_, team,
-                             wall_milliseconds(), call.request_};
-    group_.enqueue(std::move(command),
-                   [this, item](proposal_end end, pool::pool_reply) {
-                       auto kind = client_outcome_kind::done;
-                       if (end == proposal_end::not_taken)
-                           kind = client_outcome_kind::not_leader;
-                       else if (end == proposal_end::unsure)
-                           kind = client_outcome_kind::unsure;
-                       finish(item, kind);
-                   });
+    change(item, pool::accept_job{*call.order_, call.access_,
+                                  wall_milliseconds(), call.request_});
 }
 
-void client_service::cancel(const open_call& item, const job_id& id)
+// A configuration may come between this turn and the command's place in the
+// log, so the answer is what the command gave there.
+void client_service::change(open_call item, pool::pool_command command)
 {
-    group_.enqueue(pool::cancel_job{id},
-                   [this, item](proposal_end end, pool::pool_reply) {
-                       bool committed = end == proposal_end::committed;
-                       finish(item, committed ? client_outcome_kind::done
-                                              : client_outcome_kind::unsure);
+    group_.enqueue(std::move(command),
+                   [this, item = std::move(item)](
+                       proposal_end end, pool::pool_reply reply) mutable {
+                       switch (end) {
+                       case proposal_end::committed:
+                           item.config_version_ = state().config().version_;
+                           finish(item, outcome_of(reply));
+                           return;
+                       case proposal_end::not_taken:
+                           finish(item, client_outcome_kind::not_leader);
+                           return;
+                       case proposal_end::unsure:
+                           finish(item, client_outcome_kind::unsure);
+                           return;
+                       }
                    });
 }
 
@@ -173,7 +189,7 @@
     log_.event("Client call " + to_text(answer.kind_) + ".",
                {{"request", call.request_},
                 {"verb", to_text(call.verb_)},
-                {"path", call.path_},
+                {"path", call.access_.path_},
                 {"attempt", std::to_string(call.attempt_)},
                 {"repeat", call.is_repeat_ ? "yes" : "no"},
                 {"decided_by_config", std::to_string(item.config_version_)},
--- a/libs/control/src/client_service.hpp
+++ b/libs/control/src/client_service.hpp
@@ -37,8 +37,9 @@
     void serve_confirmed(const open_call& item);
     [[nodiscard]] bool is_stored_by(const client_call& call) const;
     void serve_routed(const open_call& item, const pool::queue_route& route);
-    void submit(const open_call& item, const pool::queue_route& route);
-    void cancel(const open_call& item, const job_id& id);
+    void submit(const open_call& item);
+    /// Has a command committed and answers what came of it.
+    void change(open_call item, pool::pool_command command);
     void finish(const open_call& item, client_outcome_kind kind);
     void finish(const open_call& item, client_answer answer);
     void log_answer(const open_call& item, const client_answer& answer);
--- a/libs/control/test/client_service_test.cpp
+++ b/libs/control/test/client_service_test.cpp
@@ -56,9 +56,7 @@
         client_call call;
         call.request_ = request;
         call.verb_ = client_verb::submit;
-        call.host_ = "a.example";
-        call.path_ = "/urgent/" + job_name;
-        call.key_ = "key-1";
+        call.access_ = {"a.example", "/urgent/" + job_name, "key-1"};
         call.order_.emplace();
         call.order_->id_ = job_id(job_name);
         call.order_->steps_.resize(1);
@@ -139,3 +137,42 @@
     call.is_repeat_ = true;
     CHECK(leader.serve(call).kind_ == client_outcome_kind::done);
 }
+
+// CONFIG, arreola-rol-grown: a job was accepted by the configuration that the
+// leader had applied, and stored behind one that had taken its key away.
+TEST_CASE("a call goes by the configuration before it in the log",
+          "[client_service]")
+{
+    single_leader leader;
+    leader.configure(1, {"key-1"});
+    client_call call = single_leader::make_submit("entry-1-1");
+    SECTION("a submit whose key the configuration before it takes away")
+    {
+        leader.send_config(2, {"key-2"});
+        CHECK(leader.serve(call).kind_ == client_outcome_kind::unknown_key);
+        CHECK(leader.state().find_job(job_id(job_name)) == nullptr);
+    }
+    SECTION("a submit whose route the configuration before it takes away")
+    {
+        leader.send_config(2, {"key-1"}, "/other/");
+        CHECK(leader.serve(call).kind_ == client_outcome_kind::unknown_route);
+        CHECK(leader.state().find_job(job_id(job_name)) == nullptr);
+    }
+    SECTION("a cancel whose key the configuration before it takes away")
+    {
+        REQUIRE(leader.serve(call).kind_ == client_outcome_kind::done);
+        leader.send_config(2, {"key-2"});
+        call.verb_ = client_verb::cancel;
+        call.order_.reset();
+        CHECK(leader.serve(call).kind_ == client_outcome_kind::unknown_key);
+        CHECK(leader.state().find_job(job_id(job_name))->phase_ ==
+              pool::job_phase::open);
+    }
+    SECTION("a submit that the configuration before it changes nothing for")
+    {
+        leader.send_config(2, {"key-1", "key-2"});
+        client_answer answer = leader.serve(call);
+        CHECK(answer.kind_ == client_outcome_kind::done);
+        CHECK(answer.config_version_ == 2);
+    }
+}
--- a/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
@@ -8,12 +8,12 @@
 
 namespace dandelioncrank::pool {
 
+/// Whether and how the job is run is decided by the configuration in force
+/// where the command stands in the log.
 struct accept_job
 {
     job_order order_;
-    queue_policy queue_;
-    /// Empty on a public route.
-    team_name team_;
+    queue_access access_;
     /// Wall time of the host that led when the job came.
     std::int64_t accepted_ms_ = 0;
     /// Name of the client's call, as in the logs.
@@ -22,18 +22,20 @@
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(order_, queue_, team_, accepted_ms_, request_);
+        archive(order_, access_, accepted_ms_, request_);
     }
 };
 
+/// Allowed by the configuration in force where it stands in the log.
 struct cancel_job
 {
     job_id id_;
+    queue_access access_;
 
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(id_);
+        archive(id_, access_);
     }
 };
 
@@ -162,7 +164,10 @@
     /// The same job again, or a configuration that is not newer.
     unchanged,
     /// No such job, or a start that no longer fits.
-    rejected
+    rejected,
+    /// The configuration in force does not allow the client's call.
+    unknown_route,
+    unknown_key
 };
 
 } // namespace dandelioncrank::pool
--- a/libs/pool/include/dandelioncrank/pool/pool_config.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_config.hpp
@@ -62,6 +62,37 @@
     }
 };
 
+/// What a client's call shows for its right to a queue.
+struct queue_access
+{
+    std::string host_;
+    std::string path_;
+    std::string key_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(host_, path_, key_);
+    }
+};
+
+enum class access_verdict
+{
+    granted,
+    unknown_route,
+    unknown_key
+};
+
+/// What a configuration says of a call.
+struct access_decision
+{
+    access_verdict verdict_ = access_verdict::unknown_route;
+    /// Lives as long as the configuration; null without a route.
+    const queue_route* route_ = nullptr;
+    /// Empty for an unknown key, which a public route allows.
+    team_name team_;
+};
+
 /// One accepted configuration. The highest version is in force.
 struct pool_config
 {
@@ -76,6 +107,7 @@
                                                 const std::string& path) const;
     [[nodiscard]] std::optional<team_name>
     find_team(const std::string& key) const;
+    [[nodiscard]] access_decision decide(const queue_access& access) const;
 
     template <class Archive>
     void fields(Archive& archive)
--- a/libs/pool/src/pool_config.cpp
+++ b/libs/pool/src/pool_config.cpp
@@ -25,4 +25,18 @@
     return std::nullopt;
 }
 
+access_decision pool_config::decide(const queue_access& access) const
+{
+    access_decision result;
+    result.route_ = find_route(access.host_, access.path_);
+    if (result.route_ == nullptr)
+        return result;
+    std::optional<team_name> team = find_team(access.key_);
+    bool is_allowed = team || result.route_->is_public_;
+    result.verdict_ =
+        is_allowed ? access_verdict::granted : access_verdict::unknown_key;
+    result.team_ = team.value_or(team_name());
+    return result;
+}
+
 } // namespace dandelioncrank::pool
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -25,6 +25,12 @@
     return result;
 }
 
+pool_reply refusal(access_verdict verdict)
+{
+    return verdict == access_verdict::unknown_key ? pool_reply::unknown_key
+                                                  : pool_reply::unknown_route;
+}
+
 } // namespace
 
 std::string to_text(job_phase value)
@@ -74,12 +80,19 @@
 pool_reply pool_state::handle(const accept_job& command)
 {
     const job_id& id = command.order_.id_;
-    if (jobs_.contains(id))
+    auto known = jobs_.find(id);
+    // The same call once more, which is stored already.
+    if (known != jobs_.end() && known->second.accepted_by_ == command.request_)
+        return pool_reply::unchanged;
+    access_decision access = config_.decide(command.access_);
+    if (access.verdict_ != access_verdict::granted)
+        return refusal(access.verdict_);
+    if (known != jobs_.end())
         return pool_reply::unchanged;
     job_record job;
     job.order_ = command.order_;
-    job.queue_ = command.queue_;
-    job.team_ = command.team_;
+    job.queue_ = access.route_->policy_;
+    job.team_ = access.team_;
     job.accepted_ms_ = command.accepted_ms_;
     job.accepted_by_ = command.request_;
     for (std::uint32_t k = 0; k < std::max(1U, command.order_.repeats_); ++k)
@@ -91,8 +104,12 @@
 
 pool_reply pool_state::handle(const cancel_job& command)
 {
+    access_decision access = config_.decide(command.access_);
+    if (access.verdict_ != access_verdict::granted)
+        return refusal(access.verdict_);
     auto found = jobs_.find(command.id_);
-    if (found == jobs_.end())
+    if (found == jobs_.end() ||
+        found->second.queue_.name_ != access.route_->policy_.name_)
         return pool_reply::rejected;
     if (found->second.is_final())
         return pool_reply::unchanged;
--- a/libs/pool/test/pool_fixture.hpp
+++ b/libs/pool/test/pool_fixture.hpp
@@ -58,18 +58,36 @@
         accept_job job;
         job.order_.id_ = job_id(id);
         job.order_.steps_ = std::move(steps);
-        job.queue_.name_ = "queue-" + std::to_string(priority);
-        job.queue_.service_ = service_name("rota");
-        job.queue_.priority_ = priority;
-        job.queue_.attempts_ = 2;
-        job.queue_.stretch_ = 3.0;
-        job.team_ = team_name(team);
+        job.access_ = open_queue(priority, team);
         job.accepted_ms_ = next_ms_++;
+        job.request_ = "call-" + id;
         state_.apply(job);
         view_.accepted_at_[job.order_.id_] = view_.now_;
         return job.order_.id_;
     }
 
+    /// A queue of a priority, open to a team.
+    queue_access open_queue(int priority, const std::string& team)
+    {
+        std::string name = "queue-" + std::to_string(priority);
+        queue_access access{"a.example", '/' + name + '/', "key-of-" + team};
+        if (config_.decide(access).verdict_ == access_verdict::granted)
+            return access;
+        if (config_.find_route(access.host_, access.path_) == nullptr) {
+            queue_route route{access.host_, access.path_, false, {}};
+            route.policy_.name_ = name;
+            route.policy_.service_ = service_name("rota");
+            route.policy_.priority_ = priority;
+            route.policy_.attempts_ = 2;
+            route.policy_.stretch_ = 3.0;
+            config_.routes_.push_back(route);
+        }
+        config_.teams_[team_name(team)].keys_ = {access.key_};
+        config_.version_ += 1;
+        state_.apply(put_config{config_});
+        return access;
+    }
+
     void guarantee(const std::string& team, std::int64_t accelerators)
     {
         config_.version_ += 1;
--- a/libs/pool/test/random_run_test.cpp
+++ b/libs/pool/test/random_run_test.cpp
@@ -48,6 +48,7 @@
             workers_.emplace(info.name_, fake_worker(info, now_));
             state_.apply(put_worker{info});
         }
+        open_queues();
         depose();
     }
 
@@ -109,7 +110,7 @@
         if (chance(0.02))
             submit();
         if (chance(0.002) && !submitted_.empty())
-            state_.apply(cancel_job{submitted_[pick(submitted_.size())]});
+            cancel();
         if (chance(0.002))
             depose();
         if (chance(0.002)) {
@@ -174,13 +175,39 @@
                 step.after_ = {0};
             job.order_.steps_.push_back(step);
         }
-        job.queue_.name_ = "q";
-        job.queue_.service_ = service_name("s");
-        job.queue_.priority_ = static_cast<int>(pick(3));
-        job.queue_.attempts_ = 3;
-        job.queue_.stretch_ = 3.0;
+        job.access_ = access_to(static_cast<int>(pick(3)));
+        job.request_ = job.order_.id_.str();
         state_.apply(job);
-        submitted_.push_back(job.order_.id_);
+        submitted_.emplace_back(job.order_.id_, job.access_);
+    }
+
+    void cancel()
+    {
+        const auto& [id, access] = submitted_[pick(submitted_.size())];
+        state_.apply(cancel_job{id, access});
+    }
+
+    /// Access to the queue of a priority.
+    static queue_access access_to(int priority)
+    {
+        return {"a.example", '/' + std::to_string(priority) + '/', ""};
+    }
+
+    void open_queues()
+    {
+        pool_config config;
+        config.version_ = 1;
+        for (int priority = 0; priority < 3; ++priority) {
+            queue_access access = access_to(priority);
+            queue_route route{access.host_, access.path_, true, {}};
+            route.policy_.name_ = "q" + std::to_string(priority);
+            route.policy_.service_ = service_name("s");
+            route.policy_.priority_ = priority;
+            route.policy_.attempts_ = 3;
+            route.policy_.stretch_ = 3.0;
+            config.routes_.push_back(route);
+        }
+        state_.apply(put_config{config});
     }
 
     /// A new owner begins; the one before may go on for a while.
@@ -427,7 +454,7 @@
     std::map<worker_name, fake_worker> workers_;
     std::vector<owner_slot> owners_;
     std::uint64_t term_ = 0;
-    std::vector<job_id> submitted_;
+    std::vector<std::pair<job_id, queue_access>> submitted_;
     std::map<worker_name, instant> cut_until_;
     instant deposed_at_{};
     std::map<worker_name, instant> calls_lost_at_;
