control: an entry host has its calls decided in the order in which they came

What callers saw: a call that reached an entry host first was decided last, by a newer configuration than calls that came up to 0.9 s later (CONFIG counts a call from the moment it was sent). Cause: each call that waited for a leader asked again by a timer of its own, so the phases of the timers gave the order; and a call that a lost leader had not answered stayed with it for up to 0.9 s while later calls were decided by the successor. What was ruled out: holding answers back until they are in order; it would delay answers that are ready. Change: call_queue, a pure class, holds the open calls by arrival; whatever waits is asked together, oldest first, as soon as a leader appears, not by the next 30 ms. When a leader is replaced, what it was asked waits again as a repeat, before all that came later.

--- a/libs/control/src/entry_host.cpp
+++ b/libs/control/src/entry_host.cpp
@@ -1,6 +1,7 @@
 #include "dandelioncrank/control/entry_host.hpp"
 
 #include "answer_order.hpp"
+#include "call_queue.hpp"
 #include "peer_book.hpp"
 
 #include <QJsonDocument>
@@ -19,11 +20,9 @@
 constexpr duration hello_limit = 500ms;
 // A leader that answered within this time is taken to be there.
 constexpr duration fresh_time = 1200ms;
-// How long a call waits for a leader to appear before it is refused: about
-// a planned hand-over, not an election.
-constexpr duration leader_wait = 300ms;
 // Wait for the leader's answer before the call is asked again elsewhere.
 constexpr duration attempt_time = 900ms;
+// Pause after a failed attempt before anything is asked again.
 constexpr auto retry_pause = 30ms;
 // The answer leaves this much before the client gives up.
 constexpr duration answer_margin = 150ms;
@@ -46,32 +45,31 @@
     [[nodiscard]] std::string describe() const;
 
   private:
-    struct attempt
-    {
-        client_call call_;
-        instant began_at_;
-        instant deadline_;
-        answer_handler on_answer_;
-    };
-
     void look_for_leader();
     void take_hello(const std::string& from,
                     const std::optional<hello_answer>& answer);
-    void try_once(const std::shared_ptr<attempt>& item);
-    void take_answer(const std::shared_ptr<attempt>& item,
+    void ask_waiting();
+    void ask(call_queue::number who);
+    void take_answer(call_queue::number who, std::uint32_t attempt,
                      const std::string& from,
                      const std::optional<client_answer>& answer);
-    void retry(const std::shared_ptr<attempt>& item);
-    void finish(attempt& item, const client_answer& said);
-    void check_order(const attempt& item, const client_answer& answer);
+    void refuse_overdue();
+    void finish(const call_queue::open_call& item, const client_answer& said);
+    void check_order(const call_queue::open_call& item,
+                     const client_answer& answer);
     void set_leader(const std::string& address);
 
     part_log log_{"entry"};
     control_settings settings_;
     metric_registry& metrics_;
     peer_book peers_;
+    call_queue calls_;
     answer_order order_;
     std::string leader_;
+    /// The leader that calls were last asked at.
+    std::string asked_leader_;
+    /// No waiting call is asked before.
+    instant ask_at_{};
     instant leader_heard_at_{};
     bool is_configured_ = false;
     /// When a leader was last asked, and how long to wait since, besides the
@@ -80,6 +78,8 @@
     duration pause_{};
     QObject context_;
     QTimer timer_;
+    /// Runs while calls wait.
+    QTimer ask_timer_;
 };
 
 entry_host::implementation::implementation(const control_settings& settings,
@@ -92,6 +92,10 @@
     QObject::connect(&timer_, &QTimer::timeout, &context_,
                      [this] { look_for_leader(); });
     timer_.start(hello_time);
+    ask_timer_.setTimerType(Qt::PreciseTimer);
+    ask_timer_.setInterval(retry_pause);
+    QObject::connect(&ask_timer_, &QTimer::timeout, &context_,
+                     [this] { ask_waiting(); });
     look_for_leader();
 }
 
@@ -118,6 +122,8 @@
                                : "The leader has changed.",
                {{"leader", address}, {"before", leader_}});
     leader_ = address;
+    if (!leader_.empty())
+        ask_waiting();
 }
 
 void entry_host::implementation::look_for_leader()
@@ -182,80 +188,90 @@
                                        answer_handler on_answer)
 {
     instant now = steady_now();
-    // Shared by the callbacks of one attempt after another.
-    auto item = std::make_shared<attempt>();
-    item->call_ = std::move(call);
-    item->began_at_ = now;
-    item->deadline_ = now + std::max(duration::zero(), limit - answer_margin);
-    item->on_answer_ = std::move(on_answer);
-    try_once(item);
+    call_queue::open_call item;
+    item.call_ = std::move(call);
+    item.came_at_ = now;
+    item.deadline_ = now + std::max(duration::zero(), limit - answer_margin);
+    item.on_answer_ = std::move(on_answer);
+    calls_.add(std::move(item));
+    ask_waiting();
 }
 
-void entry_host::implementation::try_once(const std::shared_ptr<attempt>& item)
+void entry_host::implementation::ask_waiting()
 {
+    refuse_overdue();
     instant now = steady_now();
-    bool is_over = now >= item->deadline_;
-    bool has_waited = now - item->began_at_ >= leader_wait;
-    if (is_over || (leader_.empty() && has_waited && !item->call_.is_repeat_)) {
-        client_answer answer;
-        answer.kind_ = client_outcome_kind::unavailable;
-        bool is_long = now - leader_heard_at_ > long_loss + fresh_time;
-        answer.retry_after_ = is_long ? long_retry : short_retry;
-        finish(*item, answer);
-        return;
+    if (!leader_.empty() && asked_leader_ != leader_) {
+        // What a former leader was asked goes before what came later.
+        calls_.put_back_asked();
+        asked_leader_ = leader_;
+        ask_at_ = now;
     }
-    if (leader_.empty()) {
-        retry(item);
-        return;
+    if (!leader_.empty() && now >= ask_at_) {
+        for (call_queue::number who : calls_.take_waiting())
+            ask(who);
     }
-    ++item->call_.attempt_;
+    if (!calls_.has_waiting())
+        ask_timer_.stop();
+    else if (!ask_timer_.isActive())
+        ask_timer_.start();
+}
+
+void entry_host::implementation::ask(call_queue::number who)
+{
+    const call_queue::open_call& item = *calls_.find(who);
     std::string target = leader_;
-    duration limit = std::min(attempt_time, item->deadline_ - now);
-    peers_.ask<client_answer>(
-        target, item->call_, limit,
-        [this, item, target](const std::optional<client_answer>& answer) {
-            take_answer(item, target, answer);
-        });
+    std::uint32_t attempt = item.call_.attempt_;
+    duration limit =
+        std::min(attempt_time, time_left(steady_now(), item.deadline_));
+    peers_.ask<client_answer>(target, item.call_, limit,
+                              [this, who, attempt, target](
+                                  const std::optional<client_answer>& answer) {
+                                  take_answer(who, attempt, target, answer);
+                              });
 }
 
 void entry_host::implementation::take_answer(
-    const std::shared_ptr<attempt>& item, const std::string& from,
+    call_queue::number who, std::uint32_t attempt, const std::string& from,
     const std::optional<client_answer>& answer)
 {
-    if (!answer) {
-        // No answer may hide a commit.
-        item->call_.is_repeat_ = true;
-        if (from == leader_)
-            set_leader({});
-        retry(item);
-        return;
-    }
-    if (answer->kind_ == client_outcome_kind::unsure) {
-        item->call_.is_repeat_ = true;
-        retry(item);
-        return;
-    }
-    if (answer->kind_ == client_outcome_kind::not_leader) {
-        if (from == leader_)
-            set_leader({});
-        retry(item);
+    bool is_settled = answer && answer->kind_ != client_outcome_kind::unsure &&
+                      answer->kind_ != client_outcome_kind::not_leader;
+    if (is_settled) {
+        leader_heard_at_ = steady_now();
+        if (auto item = calls_.take(who))
+            finish(*item, *answer);
         return;
     }
-    leader_heard_at_ = steady_now();
-    finish(*item, *answer);
+    bool not_leader =
+        answer && answer->kind_ == client_outcome_kind::not_leader;
+    // No answer may hide a commit.
+    calls_.put_back(who, attempt, !not_leader);
+    bool is_lost = !answer || not_leader;
+    if (is_lost && from == leader_)
+        set_leader({});
+    ask_at_ = steady_now() + retry_pause;
+    if (!ask_timer_.isActive())
+        ask_timer_.start();
 }
 
-void entry_host::implementation::retry(const std::shared_ptr<attempt>& item)
+void entry_host::implementation::refuse_overdue()
 {
-    QTimer::singleShot(retry_pause, Qt::PreciseTimer, &context_,
-                       [this, item] { try_once(item); });
+    instant now = steady_now();
+    for (const auto& item : calls_.take_overdue(now, !leader_.empty())) {
+        client_answer answer;
+        answer.kind_ = client_outcome_kind::unavailable;
+        bool is_long = now - leader_heard_at_ > long_loss + fresh_time;
+        answer.retry_after_ = is_long ? long_retry : short_retry;
+        finish(item, answer);
+    }
 }
 
-void entry_host::implementation::finish(attempt& item,
+void entry_host::implementation::finish(const call_queue::open_call& item,
                                         const client_answer& said)
 {
     client_answer answer = settle_answer(item.call_, said);
-    duration taken = steady_now() - item.began_at_;
+    duration taken = steady_now() - item.came_at_;
     metrics_.count("client_answers_" + to_text(answer.kind_));
     metrics_.time("client_call", taken);
     bool is_plain = answer.kind_ == client_outcome_kind::done &&
@@ -276,18 +292,18 @@
 
 // Callers that compare answers see a configuration go back if calls are
 // decided in another order than the one in which they came.
-void entry_host::implementation::check_order(const attempt& item,
+void entry_host::implementation::check_order(const call_queue::open_call& item,
                                              const client_answer& answer)
 {
     if (answer.config_version_ == 0)
         return;
     auto other = order_.note(
-        {item.call_.request_, item.began_at_, answer.config_version_},
+        {item.call_.request_, item.came_at_, answer.config_version_},
         steady_now());
     if (!other)
         return;
     metrics_.count("answers_out_of_order");
-    duration apart = item.began_at_ - other->came_at_;
+    duration apart = item.came_at_ - other->came_at_;
     log_.event("Answered out of order.",
                {{"request", item.call_.request_},
                 {"verb", to_text(item.call_.verb_)},
