consensus: a read waits for the first commit of its term, and for what was proposed before it

Cause: a leader that had not committed an entry of its term sent reads back at once, so a call went to the end of a 30 ms pause while calls that came moments later were decided. And a read asked for the commit index of its arrival, so it could be decided ahead of commands that its own leader had proposed before it. What was ruled out: telling entry hosts of a leader only when it can serve; a read would still be decided ahead of a proposal. Change: a read's index is the last of the log, which is of the leader's term; it is granted when the round is confirmed and that index is committed. Replies that confirm the round of a calm follower cover the entries as well, so nothing waits longer in calm times. Test: consensus.consensus, two cases; 3 checks failed before (the read refused before the first commit; granted without the command), pass.

--- a/libs/consensus/include/dandelioncrank/consensus/consensus_core.hpp
+++ b/libs/consensus/include/dandelioncrank/consensus/consensus_core.hpp
@@ -57,8 +57,9 @@
     /// Adds a command; its index, or nothing if this replica does not lead.
     std::optional<log_index> propose(QByteArray command, instant now);
 
-    /// Asks for a linearizable read; read_granted follows, or failed_reads_.
-    /// False if this replica does not lead.
+    /// Asks for a linearizable read that sees all that was proposed here
+    /// before; read_granted follows, or failed_reads_. False if this replica
+    /// does not lead.
     bool request_read(std::uint64_t token, instant now);
 
     /// One change at a time; false while another one is under way or this
--- a/libs/consensus/src/consensus_core.cpp
+++ b/libs/consensus/src/consensus_core.cpp
@@ -331,14 +331,17 @@
 
 bool consensus_core::request_read(std::uint64_t token, instant now)
 {
-    // The commit index is known only once this term has committed.
-    if (!is_leader() || commit_ < term_start_)
+    if (!is_leader())
         return false;
     if (fault_ == consensus_fault::read_without_quorum) {
+        if (commit_ < term_start_)
+            return false;
         output_.reads_.push_back({token, commit_});
         return true;
     }
-    reads_.push_back({token, round_ + 1, commit_});
+    // The last entry is of this term, so once it commits, the commit index is
+    // known; and the read comes after all that was proposed before it.
+    reads_.push_back({token, round_ + 1, log_->last_index()});
     broadcast(now, true);
     answer_reads();
     return true;
@@ -350,7 +353,7 @@
         std::size_t confirmed = is_voter(self_) ? 1 : 0;
         for (const auto& [name, peer] : peers_)
             confirmed += is_voter(name) && peer.round_ >= read.round_;
-        if (confirmed < quorum())
+        if (confirmed < quorum() || commit_ < read.index_)
             return false;
         output_.reads_.push_back({read.token_, read.index_});
         return true;
--- a/libs/consensus/src/replication.cpp
+++ b/libs/consensus/src/replication.cpp
@@ -200,6 +200,7 @@
     if (!own_term)
         return;
     commit_to(agreed);
+    answer_reads();
     bool removed = log_->members_index() <= commit_ && !is_voter(self_);
     // Followers learn the commit index at once, not with the next beat.
     broadcast(now, false);
--- a/libs/consensus/test/consensus_core_test.cpp
+++ b/libs/consensus/test/consensus_core_test.cpp
@@ -138,3 +138,119 @@
     CHECK(cluster.leader() != old);
     cluster.settle();
 }
+
+namespace {
+
+/// A leader of three voters whose followers answer when the test says so.
+class lone_leader
+{
+  public:
+    lone_leader() : core_(make_start(), consensus_timing{}, 1, start)
+    {
+        core_.tick(start + 1min);
+        for (bool pre_vote : {true, false}) {
+            term_number term = core_.status().term_;
+            answer(vote_reply{true, pre_vote, term});
+        }
+        REQUIRE(core_.is_leader());
+    }
+
+    /// A follower has on disk what it was sent until now.
+    void acknowledge()
+    {
+        pump();
+        answer(append_reply{true, sent_.previous_index_ + sent_.entries_.size(),
+                            sent_.round_});
+        pump();
+    }
+
+    /// A follower has heard of the round, and has none of the entries yet.
+    void confirm_round()
+    {
+        pump();
+        answer(append_reply{true, sent_.previous_index_, sent_.round_});
+        pump();
+    }
+
+    /// Does what the core asks for; the last append is kept.
+    void pump()
+    {
+        for (int turn = 0; turn < 4; ++turn) {
+            consensus_output output = core_.take_output();
+            for (const read_granted& item : output.reads_)
+                granted_.push_back(item.token_);
+            for (std::uint64_t token : output.failed_reads_)
+                failed_.push_back(token);
+            for (const consensus_message& message : output.messages_) {
+                const auto* request =
+                    std::get_if<append_request>(&message.payload_);
+                if (request != nullptr)
+                    sent_ = *request;
+            }
+            core_.persisted(start + 1min);
+        }
+    }
+
+    consensus_core core_;
+    std::vector<std::uint64_t> granted_;
+    std::vector<std::uint64_t> failed_;
+
+  private:
+    static replica_start make_start()
+    {
+        replica_start result;
+        result.self_ = voter_name("a");
+        for (const char* name : {"a", "b", "c"})
+            result.snapshot_.members_.voters_.insert(voter_name(name));
+        return result;
+    }
+
+    void answer(consensus_payload payload)
+    {
+        core_.receive({voter_name("b"), voter_name("a"), core_.status().term_,
+                       std::move(payload)},
+                      start + 1min);
+    }
+
+    append_request sent_;
+};
+
+} // namespace
+
+// CONFIG, arreola-rol-grown: calls that came just after an election were sent
+// back, and later ones were decided before they came again.
+TEST_CASE("a read before the first commit of a term waits for it",
+          "[consensus]")
+{
+    lone_leader leader;
+    leader.pump();
+    REQUIRE(leader.core_.status().commit_ == 0);
+    CHECK(leader.core_.request_read(7, start + 1min));
+    leader.pump();
+    CHECK(leader.granted_.empty());
+    // The first answer tells where the logs agree.
+    leader.acknowledge();
+    leader.acknowledge();
+    CHECK(leader.core_.status().commit_ == 1);
+    CHECK(leader.granted_ == std::vector<std::uint64_t>{7});
+    CHECK(leader.failed_.empty());
+}
+
+// CONFIG, arreola-rol-grown: a read was answered without a command that had
+// been proposed before it.
+TEST_CASE("a read waits for what was proposed before it", "[consensus]")
+{
+    lone_leader leader;
+    leader.acknowledge();
+    leader.acknowledge();
+    REQUIRE(leader.core_.status().commit_ == 1);
+    leader.core_.propose("command", start + 1min);
+    leader.pump();
+    REQUIRE(leader.core_.request_read(7, start + 1min));
+    leader.confirm_round();
+    CHECK(leader.core_.status().commit_ == 1);
+    CHECK(leader.granted_.empty());
+    leader.acknowledge();
+    CHECK(leader.core_.status().commit_ == 2);
+    CHECK(leader.granted_ == std::vector<std::uint64_t>{7});
+}
