control: a leader decides calls in the order in which they came, reads and changes alike

What callers saw: an entry host's submit came first and was decided by a newer configuration than a read that came up to 0.6 s later (found by the entry hosts' own check; CONFIG counts the moment of sending). Cause: two ways at the leader. Reads are decided when the quorum has confirmed them, changes at their later place in the log; a read of the same round is decided before a change that came ahead of it. Calls that waited for a leader come in one burst, so calls that were sent 0.6 s apart share a round. Change: a call that changes nothing is decided where the last open change before it is applied; a configuration shares its entry with nothing else; commands are flushed before reads, so a read sees what was queued before it. Deciding is one function of state and call (an answer or a command). When the lead is lost, calls on their way are answered at once (unsure, not-leader) instead of after up to 3 s.

--- a/libs/control/src/client_service.cpp
+++ b/libs/control/src/client_service.cpp
@@ -11,6 +11,13 @@
 // When a client should come back that came before the first configuration.
 constexpr duration retry_time = 1s;
 
+client_answer make_answer(client_outcome_kind kind)
+{
+    client_answer answer;
+    answer.kind_ = kind;
+    return answer;
+}
+
 client_outcome_kind outcome_of(pool::pool_reply reply)
 {
     switch (reply) {
@@ -40,38 +47,70 @@
         on_answer(answer);
         return;
     }
-    group_.confirm([this, call, on_answer](bool granted) {
-        open_call item{call, on_answer, state().config().version_,
-                       replica_.applied()};
+    group_.confirm([this, item = open_call{call, std::move(on_answer)}](
+                       bool granted) mutable {
         if (granted)
-            serve_confirmed(item);
+            settle(std::move(item));
         else
             finish(item, client_outcome_kind::not_leader);
     });
 }
 
-void client_service::serve_confirmed(const open_call& item)
+// Calls are granted in the order in which they came, so each change that is
+// still on its way came before this call. A call that changes nothing is
+// decided right behind the last of them: now it would be decided by an older
+// configuration than the change, and any later by a newer one than changes
+// that come after it.
+void client_service::settle(open_call item)
+{
+    bool is_change =
+        std::holds_alternative<pool::pool_command>(decide(item.call_));
+    if (is_change || changes_.empty())
+        settle_now(std::move(item));
+    else
+        changes_.rbegin()->second.behind_.push_back(std::move(item));
+}
+
+void client_service::settle_now(open_call item)
+{
+    item.config_version_ = state().config().version_;
+    item.applied_ = replica_.applied();
+    decision said = decide(item.call_);
+    if (auto* command = std::get_if<pool::pool_command>(&said))
+        change(std::move(item), std::move(*command));
+    else
+        finish(item, std::get<client_answer>(std::move(said)));
+}
+
+client_service::decision client_service::decide(const client_call& call) const
 {
-    const client_call& call = item.call_;
     const pool::pool_config& config = state().config();
     if (config.version_ == 0) {
-        client_answer answer;
-        answer.kind_ = client_outcome_kind::unavailable;
+        client_answer answer = make_answer(client_outcome_kind::unavailable);
         answer.retry_after_ = retry_time;
-        finish(item, answer);
-        return;
-    }
-    if (is_stored_by(call)) {
-        finish(item, client_outcome_kind::done);
-        return;
+        return answer;
     }
+    if (is_stored_by(call))
+        return make_answer(client_outcome_kind::done);
     pool::access_decision access = config.decide(call.access_);
-    if (access.verdict_ == pool::access_verdict::unknown_route)
-        finish(item, client_outcome_kind::unknown_route);
-    else if (access.verdict_ == pool::access_verdict::unknown_key)
-        finish(item, client_outcome_kind::unknown_key);
-    else
-        serve_routed(item, *access.route_);
+    switch (access.verdict_) {
+    case pool::access_verdict::unknown_route:
+        return make_answer(client_outcome_kind::unknown_route);
+    case pool::access_verdict::unknown_key:
+        return make_answer(client_outcome_kind::unknown_key);
+    case pool::access_verdict::granted:
+        break;
+    }
+    switch (call.verb_) {
+    case client_verb::count_waiting:
+        return count_waiting(call, *access.route_);
+    case client_verb::submit:
+        return decide_submit(call);
+    case client_verb::show:
+    case client_verb::cancel:
+        break;
+    }
+    return decide_for_job(call, *access.route_);
 }
 
 // An earlier attempt of this call counts, even if its key is gone by now. A
@@ -85,83 +124,95 @@
     return job != nullptr && job->accepted_by_ == call.request_;
 }
 
-void client_service::serve_routed(const open_call& item,
-                                  const pool::queue_route& route)
+client_answer
+client_service::count_waiting(const client_call& call,
+                              const pool::queue_route& route) const
 {
-    const client_call& call = item.call_;
-    client_answer answer;
-    answer.kind_ = client_outcome_kind::done;
-    if (call.verb_ == client_verb::count_waiting) {
-        if (call.access_.path_ != route.prefix_)
-            answer.kind_ = client_outcome_kind::unknown_job;
-        answer.waiting_jobs_ = state().waiting_jobs(route.policy_.name_);
-        finish(item, answer);
-        return;
-    }
-    if (call.verb_ == client_verb::submit) {
-        submit(item);
-        return;
-    }
-    job_id id(call.access_.path_.substr(route.prefix_.size()));
-    const pool::job_record* job = state().find_job(id);
-    if (job == nullptr || job->queue_.name_ != route.policy_.name_) {
-        finish(item, client_outcome_kind::unknown_job);
-        return;
-    }
-    if (call.verb_ == client_verb::cancel) {
-        change(item, pool::cancel_job{id, call.access_});
-        return;
-    }
-    answer.has_begun_ = job->has_begun_;
-    answer.phase_ = job->phase_;
-    finish(item, answer);
+    bool is_queue = call.access_.path_ == route.prefix_;
+    client_answer answer =
+        make_answer(is_queue ? client_outcome_kind::done
+                             : client_outcome_kind::unknown_job);
+    answer.waiting_jobs_ = state().waiting_jobs(route.policy_.name_);
+    return answer;
 }
 
-void client_service::submit(const open_call& item)
+client_service::decision
+client_service::decide_submit(const client_call& call) const
 {
-    const client_call& call = item.call_;
     if (!call.order_) {
-        client_answer answer;
-        answer.kind_ = client_outcome_kind::invalid;
+        client_answer answer = make_answer(client_outcome_kind::invalid);
         answer.fault_ = call.fault_;
-        finish(item, answer);
-        return;
+        return answer;
     }
-    if (state().find_job(call.order_->id_) != nullptr) {
-        finish(item, client_outcome_kind::done);
-        return;
-    }
-    change(item, pool::accept_job{*call.order_, call.access_,
-                                  wall_milliseconds(), call.request_});
+    if (state().find_job(call.order_->id_) != nullptr)
+        return make_answer(client_outcome_kind::done);
+    return pool::accept_job{*call.order_, call.access_, wall_milliseconds(),
+                            call.request_};
+}
+
+client_service::decision
+client_service::decide_for_job(const client_call& call,
+                               const pool::queue_route& route) const
+{
+    job_id id(call.access_.path_.substr(route.prefix_.size()));
+    const pool::job_record* job = state().find_job(id);
+    if (job == nullptr || job->queue_.name_ != route.policy_.name_)
+        return make_answer(client_outcome_kind::unknown_job);
+    if (call.verb_ == client_verb::cancel)
+        return pool::cancel_job{id, call.access_};
+    client_answer answer = make_answer(client_outcome_kind::done);
+    answer.has_begun_ = job->has_begun_;
+    answer.phase_ = job->phase_;
+    return answer;
 }
 
 // A configuration may come between this turn and the command's place in the
 // log, so the answer is what the command gave there.
 void client_service::change(open_call item, pool::pool_command command)
 {
+    std::uint64_t number = next_change_++;
+    changes_[number].call_ = std::move(item);
     group_.enqueue(std::move(command),
-                   [this, item = std::move(item)](
-                       proposal_end end, pool::pool_reply reply) mutable {
-                       switch (end) {
-                       case proposal_end::committed:
-                           item.config_version_ = state().config().version_;
-                           finish(item, outcome_of(reply));
-                           return;
-                       case proposal_end::not_taken:
-                           finish(item, client_outcome_kind::not_leader);
-                           return;
-                       case proposal_end::unsure:
-                           finish(item, client_outcome_kind::unsure);
-                           return;
-                       }
+                   [this, number](proposal_end end, pool::pool_reply reply) {
+                       if (auto found = changes_.extract(number))
+                           end_change(std::move(found.mapped()), end, reply);
                    });
 }
 
+void client_service::end_change(open_change change, proposal_end end,
+                                pool::pool_reply reply)
+{
+    switch (end) {
+    case proposal_end::committed:
+        change.call_.config_version_ = state().config().version_;
+        finish(change.call_, outcome_of(reply));
+        break;
+    case proposal_end::not_taken:
+        finish(change.call_, client_outcome_kind::not_leader);
+        break;
+    case proposal_end::unsure:
+        finish(change.call_, client_outcome_kind::unsure);
+        break;
+    }
+    for (open_call& call : change.behind_) {
+        if (end == proposal_end::committed)
+            settle_now(std::move(call));
+        else
+            finish(call, client_outcome_kind::not_leader);
+    }
+}
+
+void client_service::end_leadership()
+{
+    auto open = std::exchange(changes_, {});
+    for (auto& [number, change] : open)
+        end_change(std::move(change), proposal_end::unsure,
+                   pool::pool_reply::rejected);
+}
+
 void client_service::finish(const open_call& item, client_outcome_kind kind)
 {
-    client_answer answer;
-    answer.kind_ = kind;
-    finish(item, answer);
+    finish(item, make_answer(kind));
 }
 
 void client_service::finish(const open_call& item, client_answer answer)
--- a/libs/control/src/client_service.hpp
+++ b/libs/control/src/client_service.hpp
@@ -5,6 +5,9 @@
 #include "group_log.hpp"
 
 #include <functional>
+#include <map>
+#include <variant>
+#include <vector>
 
 namespace dandelioncrank::control {
 
@@ -24,6 +27,10 @@
     /// Answers not_leader on any other host.
     void serve(const client_call& call, answer_handler on_answer);
 
+    /// This host has lost the lead, or has it anew: whether changes on their
+    /// way were made is for the next leader to say.
+    void end_leadership();
+
   private:
     /// A call on its way, and the state in which it was decided.
     struct open_call
@@ -34,12 +41,35 @@
         log_index applied_ = 0;
     };
 
-    void serve_confirmed(const open_call& item);
+    /// A client's change on its way to the log.
+    struct open_change
+    {
+        open_call call_;
+        /// Calls that are decided behind it.
+        std::vector<open_call> behind_;
+    };
+
+    /// What the state says of a call: an answer, or a command that has to be
+    /// committed before there is one.
+    using decision = std::variant<client_answer, pool::pool_command>;
+
+    /// Takes a call further after the quorum has confirmed that this host
+    /// leads.
+    void settle(open_call item);
+    /// Decides a call by the state as it is.
+    void settle_now(open_call item);
+    [[nodiscard]] decision decide(const client_call& call) const;
     [[nodiscard]] bool is_stored_by(const client_call& call) const;
-    void serve_routed(const open_call& item, const pool::queue_route& route);
-    void submit(const open_call& item);
+    [[nodiscard]] client_answer
+    count_waiting(const client_call& call,
+                  const pool::queue_route& route) const;
+    [[nodiscard]] decision decide_submit(const client_call& call) const;
+    [[nodiscard]] decision decide_for_job(const client_call& call,
+                                          const pool::queue_route& route) const;
     /// Has a command committed and answers what came of it.
     void change(open_call item, pool::pool_command command);
+    void end_change(open_change change, proposal_end end,
+                    pool::pool_reply reply);
     void finish(const open_call& item, client_outcome_kind kind);
     void finish(const open_call& item, client_answer answer);
     void log_answer(const open_call& item, const client_answer& answer);
@@ -53,6 +83,9 @@
     const replica<pool_machine>& replica_;
     group_log& group_;
     metric_registry& metrics_;
+    /// Changes of this term by the order in which they came.
+    std::map<std::uint64_t, open_change> changes_;
+    std::uint64_t next_change_ = 1;
 };
 
 } // namespace dandelioncrank::control
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -369,6 +369,8 @@
 {
     bool is_owner = owned_term_ != 0;
     bool still = leads() && replica_->status().term_ == owned_term_;
+    if (!still)
+        clients_->end_leadership();
     if (is_owner && !still) {
         log_.event("The pool is given up.",
                    {{"term", std::to_string(owned_term_)}});
--- a/libs/control/src/group_log.cpp
+++ b/libs/control/src/group_log.cpp
@@ -2,6 +2,8 @@
 
 #include <QTimer>
 
+#include <algorithm>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -48,8 +50,9 @@
     flushed_at_ = steady_now();
     if (on_flush_)
         on_flush_();
-    flush_reads();
+    // A read sees what was queued before it.
     flush_commands();
+    flush_reads();
 }
 
 void group_log::flush_reads()
@@ -65,33 +68,47 @@
     });
 }
 
+// Calls are decided by the configuration that is in force between two
+// entries, so a configuration shares its entry with nothing else.
 void group_log::flush_commands()
 {
-    if (commands_.empty())
-        return;
-    auto batch = std::make_shared<std::vector<queued_command>>(
-        std::exchange(commands_, {}));
+    std::vector<queued_command> queue = std::exchange(commands_, {});
+    auto is_config = [](const queued_command& item) {
+        return std::holds_alternative<pool::put_config>(item.command_);
+    };
+    for (auto first = queue.begin(); first != queue.end();) {
+        auto last = is_config(*first)
+                        ? std::next(first)
+                        : std::find_if(first, queue.end(), is_config);
+        propose(
+            {std::make_move_iterator(first), std::make_move_iterator(last)});
+        first = last;
+    }
+}
+
+void group_log::propose(std::vector<queued_command> commands)
+{
     pool::pool_batch entry;
-    for (const queued_command& item : *batch)
+    for (const queued_command& item : commands)
         entry.push_back(item.command_);
     metrics_.count("commits");
     ++open_commits_;
     instant sent_at = steady_now();
-    replica_.propose(
-        to_wire(entry), sent_at,
-        [this, batch, sent_at](proposal_end end,
+    replica_.propose(to_wire(entry), sent_at,
+                     [this, batch = std::move(commands),
+                      sent_at](proposal_end end,
                                std::optional<pool_machine::reply> replies) {
-            --open_commits_;
-            if (end == proposal_end::committed)
-                metrics_.time("commit", steady_now() - sent_at);
-            for (std::size_t i = 0; i < batch->size(); ++i) {
-                const queued_command& item = (*batch)[i];
-                auto reply =
-                    replies ? replies->at(i) : pool::pool_reply::rejected;
-                if (item.on_answer_)
-                    item.on_answer_(end, reply);
-            }
-        });
+                         --open_commits_;
+                         if (end == proposal_end::committed)
+                             metrics_.time("commit", steady_now() - sent_at);
+                         for (std::size_t i = 0; i < batch.size(); ++i) {
+                             const queued_command& item = batch[i];
+                             auto reply = replies ? replies->at(i)
+                                                  : pool::pool_reply::rejected;
+                             if (item.on_answer_)
+                                 item.on_answer_(end, reply);
+                         }
+                     });
 }
 
 } // namespace dandelioncrank::control
--- a/libs/control/src/group_log.hpp
+++ b/libs/control/src/group_log.hpp
@@ -26,7 +26,8 @@
 
     /// Has a command committed; the handler may be empty.
     void enqueue(pool::pool_command command, command_handler on_answer);
-    /// Answers once the state holds everything committed before this call.
+    /// Answers once the state holds everything that was committed anywhere or
+    /// queued here before this call; in the order of the calls.
     void confirm(read_handler on_answer);
     /// Flushes soon, also if nothing is queued.
     void schedule_flush();
@@ -44,6 +45,7 @@
     void flush();
     void flush_reads();
     void flush_commands();
+    void propose(std::vector<queued_command> commands);
 
     replica<pool_machine>& replica_;
     metric_registry& metrics_;
--- a/libs/control/test/client_service_test.cpp
+++ b/libs/control/test/client_service_test.cpp
@@ -63,6 +63,28 @@
         return call;
     }
 
+    [[nodiscard]] static client_call make_read(const std::string& request)
+    {
+        client_call call;
+        call.request_ = request;
+        call.verb_ = client_verb::count_waiting;
+        call.access_ = {"a.example", "/urgent/", "key-1"};
+        return call;
+    }
+
+    void ask(const client_call& call, client_service::answer_handler on_answer)
+    {
+        clients_.serve(call, std::move(on_answer));
+    }
+
+    void end_leadership() { clients_.end_leadership(); }
+
+    /// Calls back when the calls asked until now have been granted.
+    void when_granted(const std::function<void()>& handler)
+    {
+        log_.confirm([handler](bool) { handler(); });
+    }
+
     client_answer serve(const client_call& call)
     {
         std::optional<client_answer> answer;
@@ -176,3 +198,102 @@
         CHECK(answer.config_version_ == 2);
     }
 }
+
+// CONFIG, arreola-rol-grown: a read was decided by an older configuration than
+// a submit that had come before it and was on its way to the log.
+TEST_CASE("a read is decided after a submit that came before it",
+          "[client_service]")
+{
+    single_leader leader;
+    leader.configure(1, {"key-1"});
+    std::optional<client_answer> submitted;
+    std::optional<client_answer> counted;
+    auto submit_and_count = [&] {
+        leader.ask(single_leader::make_submit("entry-1-2"),
+                   [&](const client_answer& said) { submitted = said; });
+        leader.ask(single_leader::make_read("entry-1-3"),
+                   [&](const client_answer& said) { counted = said; });
+    };
+    SECTION("a configuration comes between them")
+    {
+        submit_and_count();
+        leader.send_config(2, {"key-1", "key-2"});
+    }
+    SECTION("a configuration comes while they are decided")
+    {
+        leader.ask(single_leader::make_read("entry-1-1"),
+                   [&](const client_answer&) {
+                       leader.send_config(2, {"key-1", "key-2"});
+                   });
+        submit_and_count();
+    }
+    REQUIRE(run_until([&] { return submitted && counted; }));
+    CHECK(submitted->config_version_ == 2);
+    CHECK(counted->config_version_ == 2);
+}
+
+// CONFIG, arreola-rol-grown: a read was decided by a newer configuration than a
+// submit that came after it, as both shared an entry of the log with it.
+TEST_CASE("a configuration shares no entry of the log with calls",
+          "[client_service]")
+{
+    single_leader leader;
+    leader.configure(1, {"key-1"});
+    std::optional<client_answer> counted;
+    std::optional<client_answer> submitted;
+    leader.ask(single_leader::make_submit("entry-1-1"),
+               [](const client_answer&) {});
+    leader.ask(single_leader::make_read("entry-1-2"),
+               [&](const client_answer& said) { counted = said; });
+    client_call later = single_leader::make_submit("entry-1-3");
+    later.order_->id_ = job_id("fedcba9876543210");
+    leader.ask(later, [&](const client_answer& said) { submitted = said; });
+    leader.when_granted([&] { leader.send_config(2, {"key-1"}); });
+    REQUIRE(run_until([&] { return submitted && counted; }));
+    CHECK(counted->config_version_ == 1);
+    CHECK(submitted->config_version_ == 1);
+}
+
+// The same, with the later submit behind the configuration.
+TEST_CASE("a read waits for no submit that came after it", "[client_service]")
+{
+    single_leader leader;
+    leader.configure(1, {"key-1"});
+    std::optional<client_answer> counted;
+    std::optional<client_answer> submitted;
+    leader.ask(single_leader::make_submit("entry-1-1"),
+               [](const client_answer&) {});
+    leader.ask(single_leader::make_read("entry-1-2"),
+               [&](const client_answer& said) { counted = said; });
+    leader.when_granted([&] { leader.send_config(2, {"key-1"}); });
+    client_call later = single_leader::make_submit("entry-1-3");
+    later.order_->id_ = job_id("fedcba9876543210");
+    leader.ask(later, [&](const client_answer& said) { submitted = said; });
+    REQUIRE(run_until([&] { return submitted && counted; }));
+    CHECK(counted->config_version_ == 1);
+    CHECK(submitted->config_version_ == 2);
+}
+
+TEST_CASE("calls on their way when the lead is lost are answered at once",
+          "[client_service]")
+{
+    single_leader leader;
+    leader.configure(1, {"key-1"});
+    std::optional<client_answer> submitted;
+    std::optional<client_answer> counted;
+    leader.ask(single_leader::make_submit("entry-1-1"),
+               [&](const client_answer& said) { submitted = said; });
+    leader.ask(single_leader::make_read("entry-1-2"),
+               [&](const client_answer& said) { counted = said; });
+    bool was_granted = false;
+    leader.when_granted([&] {
+        was_granted = true;
+        leader.end_leadership();
+    });
+    REQUIRE(run_until([&] { return was_granted; }));
+    REQUIRE(submitted);
+    REQUIRE(counted);
+    // The submit is in the queue for the log, and may be stored yet.
+    CHECK(submitted->kind_ == client_outcome_kind::unsure);
+    CHECK(counted->kind_ == client_outcome_kind::not_leader);
+}
