control: a call's line names the one state that decided it

Cause: since changes are decided where they stand in the log, the configuration that decided and the one at the answer are the same; the line had both, and a counter of their difference that can only be 0 now. What was ruled out: keeping the counter as an alarm; it compared a value with itself. Change: the line has config and applied of the decision; the counter is gone; a call is decided once before it is carried out, not twice.

--- a/libs/control/src/client_service.cpp
+++ b/libs/control/src/client_service.cpp
@@ -63,25 +63,29 @@
 // that come after it.
 void client_service::settle(open_call item)
 {
-    bool is_change =
-        std::holds_alternative<pool::pool_command>(decide(item.call_));
+    decision said = decide(item.call_);
+    bool is_change = std::holds_alternative<pool::pool_command>(said);
     if (is_change || changes_.empty())
-        settle_now(std::move(item));
+        carry_out(std::move(item), std::move(said));
     else
         changes_.rbegin()->second.behind_.push_back(std::move(item));
 }
 
-void client_service::settle_now(open_call item)
+void client_service::carry_out(open_call item, decision said)
 {
-    item.config_version_ = state().config().version_;
-    item.applied_ = replica_.applied();
-    decision said = decide(item.call_);
+    note_state(item);
     if (auto* command = std::get_if<pool::pool_command>(&said))
         change(std::move(item), std::move(*command));
     else
         finish(item, std::get<client_answer>(std::move(said)));
 }
 
+void client_service::note_state(open_call& item) const
+{
+    item.config_version_ = state().config().version_;
+    item.applied_ = replica_.applied();
+}
+
 client_service::decision client_service::decide(const client_call& call) const
 {
     const pool::pool_config& config = state().config();
@@ -184,7 +188,7 @@
 {
     switch (end) {
     case proposal_end::committed:
-        change.call_.config_version_ = state().config().version_;
+        note_state(change.call_);
         finish(change.call_, outcome_of(reply));
         break;
     case proposal_end::not_taken:
@@ -195,10 +199,12 @@
         break;
     }
     for (open_call& call : change.behind_) {
-        if (end == proposal_end::committed)
-            settle_now(std::move(call));
-        else
+        if (end != proposal_end::committed) {
             finish(call, client_outcome_kind::not_leader);
+            continue;
+        }
+        decision said = decide(call.call_);
+        carry_out(std::move(call), std::move(said));
     }
 }
 
@@ -228,11 +234,8 @@
                                 const client_answer& answer)
 {
     const client_call& call = item.call_;
-    std::uint64_t version_now = state().config().version_;
     bool changes =
         call.verb_ == client_verb::submit || call.verb_ == client_verb::cancel;
-    if (changes && version_now != item.config_version_)
-        metrics_.count("client_calls_overtaken_by_config");
     if (!changes && answer.kind_ == client_outcome_kind::done)
         return;
     const pool::job_record* known =
@@ -243,11 +246,9 @@
                 {"path", call.access_.path_},
                 {"attempt", std::to_string(call.attempt_)},
                 {"repeat", call.is_repeat_ ? "yes" : "no"},
-                {"decided_by_config", std::to_string(item.config_version_)},
-                {"decided_at", std::to_string(item.applied_)},
-                {"config", std::to_string(version_now)},
+                {"config", std::to_string(item.config_version_)},
+                {"applied", std::to_string(item.applied_)},
                 {"term", std::to_string(replica_.status().term_)},
-                {"applied", std::to_string(replica_.applied())},
                 {"stored_by", known != nullptr ? known->accepted_by_ : ""},
                 {"fault", answer.fault_}});
 }
--- a/libs/control/src/client_service.hpp
+++ b/libs/control/src/client_service.hpp
@@ -11,8 +11,9 @@
 
 namespace dandelioncrank::control {
 
-/// Serves clients' calls on the leader. Every answer, a refusal too, waits
-/// for a round of the quorum, so that a deposed leader gives none.
+/// Serves clients' calls on the leader, which decides them in the order in
+/// which they come. Every answer, a refusal too, waits for a round of the
+/// quorum, so that a deposed leader gives none.
 class client_service
 {
   public:
@@ -56,8 +57,10 @@
     /// Takes a call further after the quorum has confirmed that this host
     /// leads.
     void settle(open_call item);
-    /// Decides a call by the state as it is.
-    void settle_now(open_call item);
+    /// Answers a call, or has its command committed first.
+    void carry_out(open_call item, decision said);
+    /// Notes the state in which a call is decided.
+    void note_state(open_call& item) const;
     [[nodiscard]] decision decide(const client_call& call) const;
     [[nodiscard]] bool is_stored_by(const client_call& call) const;
     [[nodiscard]] client_answer
