control: the tests of the leader's order share their steps

Cause: three cases repeated the same calls; two told one failure. Change: make_submit takes the job, ask() fills an answer, the two cases of a read before a later submit are sections of one. Every check is kept.

--- a/libs/control/test/client_service_test.cpp
+++ b/libs/control/test/client_service_test.cpp
@@ -51,14 +51,15 @@
             run_until([&] { return state().config().version_ == version; }));
     }
 
-    [[nodiscard]] static client_call make_submit(const std::string& request)
+    [[nodiscard]] static client_call
+    make_submit(const std::string& request, const std::string& job = job_name)
     {
         client_call call;
         call.request_ = request;
         call.verb_ = client_verb::submit;
-        call.access_ = {"a.example", "/urgent/" + job_name, "key-1"};
+        call.access_ = {"a.example", "/urgent/" + job, "key-1"};
         call.order_.emplace();
-        call.order_->id_ = job_id(job_name);
+        call.order_->id_ = job_id(job);
         call.order_->steps_.resize(1);
         return call;
     }
@@ -72,9 +73,11 @@
         return call;
     }
 
-    void ask(const client_call& call, client_service::answer_handler on_answer)
+    /// The answer is there once the event loop has turned.
+    void ask(const client_call& call, std::optional<client_answer>& answer)
     {
-        clients_.serve(call, std::move(on_answer));
+        clients_.serve(call,
+                       [&answer](const client_answer& said) { answer = said; });
     }
 
     void end_leadership() { clients_.end_leadership(); }
@@ -88,8 +91,7 @@
     client_answer serve(const client_call& call)
     {
         std::optional<client_answer> answer;
-        clients_.serve(call,
-                       [&answer](const client_answer& said) { answer = said; });
+        ask(call, answer);
         REQUIRE(run_until([&] { return answer.has_value(); }));
         return *answer;
     }
@@ -208,24 +210,17 @@
     leader.configure(1, {"key-1"});
     std::optional<client_answer> submitted;
     std::optional<client_answer> counted;
-    auto submit_and_count = [&] {
-        leader.ask(single_leader::make_submit("entry-1-2"),
-                   [&](const client_answer& said) { submitted = said; });
-        leader.ask(single_leader::make_read("entry-1-3"),
-                   [&](const client_answer& said) { counted = said; });
-    };
     SECTION("a configuration comes between them")
     {
-        submit_and_count();
+        leader.ask(single_leader::make_submit("entry-1-1"), submitted);
+        leader.ask(single_leader::make_read("entry-1-2"), counted);
         leader.send_config(2, {"key-1", "key-2"});
     }
     SECTION("a configuration comes while they are decided")
     {
-        leader.ask(single_leader::make_read("entry-1-1"),
-                   [&](const client_answer&) {
-                       leader.send_config(2, {"key-1", "key-2"});
-                   });
-        submit_and_count();
+        leader.when_granted([&] { leader.send_config(2, {"key-1", "key-2"}); });
+        leader.ask(single_leader::make_submit("entry-1-1"), submitted);
+        leader.ask(single_leader::make_read("entry-1-2"), counted);
     }
     REQUIRE(run_until([&] { return submitted && counted; }));
     CHECK(submitted->config_version_ == 2);
@@ -233,45 +228,36 @@
 }
 
 // CONFIG, arreola-rol-grown: a read was decided by a newer configuration than a
-// submit that came after it, as both shared an entry of the log with it.
-TEST_CASE("a configuration shares no entry of the log with calls",
+// submit that came after it, as both shared an entry of the log with it, or as
+// the read waited for the later submit.
+TEST_CASE("a read is decided before a submit that came after it",
           "[client_service]")
 {
     single_leader leader;
     leader.configure(1, {"key-1"});
+    std::optional<client_answer> first;
     std::optional<client_answer> counted;
     std::optional<client_answer> submitted;
-    leader.ask(single_leader::make_submit("entry-1-1"),
-               [](const client_answer&) {});
-    leader.ask(single_leader::make_read("entry-1-2"),
-               [&](const client_answer& said) { counted = said; });
-    client_call later = single_leader::make_submit("entry-1-3");
-    later.order_->id_ = job_id("fedcba9876543210");
-    leader.ask(later, [&](const client_answer& said) { submitted = said; });
-    leader.when_granted([&] { leader.send_config(2, {"key-1"}); });
-    REQUIRE(run_until([&] { return submitted && counted; }));
-    CHECK(counted->config_version_ == 1);
-    CHECK(submitted->config_version_ == 1);
-}
-
-// The same, with the later submit behind the configuration.
-TEST_CASE("a read waits for no submit that came after it", "[client_service]")
-{
-    single_leader leader;
-    leader.configure(1, {"key-1"});
-    std::optional<client_answer> counted;
-    std::optional<client_answer> submitted;
-    leader.ask(single_leader::make_submit("entry-1-1"),
-               [](const client_answer&) {});
-    leader.ask(single_leader::make_read("entry-1-2"),
-               [&](const client_answer& said) { counted = said; });
-    leader.when_granted([&] { leader.send_config(2, {"key-1"}); });
-    client_call later = single_leader::make_submit("entry-1-3");
-    later.order_->id_ = job_id("fedcba9876543210");
-    leader.ask(later, [&](const client_answer& said) { submitted = said; });
+    client_call later =
+        single_leader::make_submit("entry-1-3", "fedcba9876543210");
+    leader.ask(single_leader::make_submit("entry-1-1"), first);
+    leader.ask(single_leader::make_read("entry-1-2"), counted);
+    std::uint64_t submit_version = 0;
+    SECTION("a configuration comes after both")
+    {
+        leader.ask(later, submitted);
+        leader.when_granted([&] { leader.send_config(2, {"key-1"}); });
+        submit_version = 1;
+    }
+    SECTION("a configuration comes between them")
+    {
+        leader.when_granted([&] { leader.send_config(2, {"key-1"}); });
+        leader.ask(later, submitted);
+        submit_version = 2;
+    }
     REQUIRE(run_until([&] { return submitted && counted; }));
     CHECK(counted->config_version_ == 1);
-    CHECK(submitted->config_version_ == 2);
+    CHECK(submitted->config_version_ == submit_version);
 }
 
 TEST_CASE("calls on their way when the lead is lost are answered at once",
@@ -281,10 +267,8 @@
     leader.configure(1, {"key-1"});
     std::optional<client_answer> submitted;
     std::optional<client_answer> counted;
-    leader.ask(single_leader::make_submit("entry-1-1"),
-               [&](const client_answer& said) { submitted = said; });
-    leader.ask(single_leader::make_read("entry-1-2"),
-               [&](const client_answer& said) { counted = said; });
+    leader.ask(single_leader::make_submit("entry-1-1"), submitted);
+    leader.ask(single_leader::make_read("entry-1-2"), counted);
     bool was_granted = false;
     leader.when_granted([&] {
         was_granted = true;
