metrics, control: how a control host's event loop spends its time

Change: activity_meter attributes the loop's time to named activities, nested ones exclusively; gauges on the metrics address, one line a second while the loop is busy for over half of the time.

--- /dev/null
+++ b/libs/control/include/dandelioncrank/control/control_activity.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace dandelioncrank::control {
+
+/// Activities of a control host for which the time of its event loop is
+/// recorded.
+enum control_activity : std::size_t
+{
+    /// The loop waits for events.
+    idle,
+    /// Sockets, timers and the parsing of messages.
+    input_output,
+    consensus,
+    /// Writes and syncs of the durable state.
+    storage,
+    client_calls,
+    worker_calls,
+    announcements,
+    hellos,
+    /// Scheduling plans.
+    planning,
+    /// Sessions with workers: leases, outcomes and due calls.
+    sessions,
+    logging
+};
+
+/// Returns the names of all activities, in the order of their values.
+[[nodiscard]] inline std::vector<std::string> control_activity_names()
+{
+    return {"idle",         "input_output", "consensus",     "storage",
+            "client_calls", "worker_calls", "announcements", "hellos",
+            "planning",     "sessions",     "logging"};
+}
+
+} // namespace dandelioncrank::control
--- a/libs/control/include/dandelioncrank/control/control_host.hpp
+++ b/libs/control/include/dandelioncrank/control/control_host.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "dandelioncrank/control/client_call.hpp"
+#include "dandelioncrank/control/control_activity.hpp"
 #include "dandelioncrank/control/control_settings.hpp"
+#include "dandelioncrank/metrics/activity_meter.hpp"
 #include "dandelioncrank/metrics/metric_registry.hpp"
 #include "dandelioncrank/pool/pool_state.hpp"
 #include "dandelioncrank/pool/worker_calls.hpp"
@@ -69,6 +71,9 @@
     /// leader or the leadership transfer has timed out.
     void begin_stop(std::function<void()> on_done);
 
+    /// Records how the event loop spends its time, by control_activity.
+    [[nodiscard]] activity_meter& meter();
+
     /// Returns the state of this host as JSON, for operators.
     [[nodiscard]] std::string describe() const;
 
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -6,9 +6,11 @@
 #include "dandelioncrank/peer/peer_server.hpp"
 #include "dandelioncrank/replica/replica.hpp"
 #include "group_log.hpp"
+#include "loop_report.hpp"
 #include "peer_registry.hpp"
 #include "worker_service.hpp"
 
+#include <QAbstractEventDispatcher>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -53,6 +55,7 @@
                    worker_caller call_worker, metric_registry& metrics);
 
     [[nodiscard]] worker_service& workers() { return *workers_; }
+    [[nodiscard]] activity_meter& meter() { return meter_; }
     void put_config(const pool::pool_config& config,
                     response_handler on_response);
     void read_config(response_handler on_response);
@@ -78,6 +81,8 @@
     void schedule_owner();
     void run_owner();
     void execute(pool::owner_output output);
+    void log_events(const std::vector<pool::owner_event>& events);
+    void send_calls(const std::vector<pool::worker_call>& calls);
     void review_membership(instant now);
     void tick();
 
@@ -102,6 +107,8 @@
     control_settings settings_;
     worker_caller call_worker_;
     metric_registry& metrics_;
+    activity_meter meter_{control_activity_names()};
+    loop_report loop_report_;
     peer_registry peers_;
     std::unique_ptr<replica<pool_state_machine>> replica_;
     std::unique_ptr<group_log> group_;
@@ -130,7 +137,8 @@
                                              worker_caller call_worker,
                                              metric_registry& metrics)
     : host_(host), settings_(settings), call_worker_(std::move(call_worker)),
-      metrics_(metrics), peers_(settings.internal_address_.to_text())
+      metrics_(metrics), loop_report_(meter_, metrics),
+      peers_(settings.internal_address_.to_text())
 {
     add_seeds(settings_.seeds_);
     bool is_seed =
@@ -155,10 +163,14 @@
         [this](const consensus_message& message) {
             peers_.post(address_of(message.to_), message);
         });
-    group_ = std::make_unique<group_log>(*replica_, metrics_);
+    group_ = std::make_unique<group_log>(*replica_, metrics_, meter_);
     group_->on_flush_ = [this] { schedule_owner(); };
     clients_ = std::make_unique<client_service>(*replica_, *group_, metrics_);
     owner_ = std::make_unique<pool::pool_owner>(state(), settings_.timing_);
+    owner_->around_plan_ = [this](const std::function<void()>& plan) {
+        activity_meter::scope scope(meter_, planning);
+        plan();
+    };
     workers_ = std::make_unique<worker_service>(
         *replica_, *group_, *owner_, settings_.control_address_.to_text());
     workers_->redirect_to_leader_ = [this] { return redirect_to_leader(); };
@@ -175,6 +187,15 @@
         [this](const QByteArray& bytes, const peer_server::responder& reply) {
             receive_message(bytes, reply);
         });
+    replica_->around_store_ = [this](const std::function<void()>& store) {
+        activity_meter::scope scope(meter_, storage);
+        store();
+    };
+    auto* dispatcher = QAbstractEventDispatcher::instance();
+    QObject::connect(dispatcher, &QAbstractEventDispatcher::aboutToBlock,
+                     &context_, [this] { meter_.switch_to(idle); });
+    QObject::connect(dispatcher, &QAbstractEventDispatcher::awake, &context_,
+                     [this] { meter_.switch_to(input_output); });
     timer_.setTimerType(Qt::PreciseTimer);
     QObject::connect(&timer_, &QTimer::timeout, &context_, [this] { tick(); });
     timer_.start(tick_interval);
@@ -201,6 +222,7 @@
 void control_host::implementation::handle(const hello& item,
                                           const peer_server::responder& reply)
 {
+    activity_meter::scope scope(meter_, hellos);
     if (!item.voter_.empty()) {
         peers_.add_control_host(item.address_);
         last_hello_at_[item.voter_] = steady_now();
@@ -236,6 +258,7 @@
 void control_host::implementation::handle(const consensus_message& item,
                                           const peer_server::responder& reply)
 {
+    activity_meter::scope scope(meter_, consensus);
     // An empty acknowledgement: the reply to a consensus message is sent as a
     // message of its own.
     reply(to_wire(hello_response{}));
@@ -246,6 +269,7 @@
 void control_host::implementation::handle(const client_call& item,
                                           const peer_server::responder& reply)
 {
+    activity_meter::scope scope(meter_, client_calls);
     clients_->serve(item, [reply](const client_response& response) {
         reply(to_wire(response));
     });
@@ -254,6 +278,7 @@
 void control_host::implementation::handle(const relayed_announcements& item,
                                           const peer_server::responder& reply)
 {
+    activity_meter::scope scope(meter_, announcements);
     // An empty acknowledgement.
     reply(to_wire(hello_response{}));
     workers_->receive_relayed(item, steady_now());
@@ -421,6 +446,7 @@
 {
     if (owned_term_ == 0 || !is_leader())
         return;
+    activity_meter::scope scope(meter_, sessions);
     workers_->complete_removals(true);
     owner_last_run_at_ = steady_now();
     owner_->tick(owner_last_run_at_, wall_milliseconds());
@@ -442,22 +468,8 @@
 
 void control_host::implementation::execute(pool::owner_output output)
 {
-    for (const pool::owner_event& event : output.events_)
-        log_.event(event.message_ + ".",
-                   {{"job", event.subject_},
-                    {"term", std::to_string(owned_term_)},
-                    {"applied", std::to_string(replica_->applied())}});
-    for (const pool::worker_call& call : output.calls_) {
-        metrics_.count("worker_calls");
-        std::uint64_t id = call.id_;
-        std::uint64_t term = owned_term_;
-        call_worker_(call, [this, id, term](const pool::call_result& result) {
-            if (owned_term_ != term)
-                return;
-            owner_->handle_result(id, result, steady_now());
-            group_->schedule_flush();
-        });
-    }
+    log_events(output.events_);
+    send_calls(output.calls_);
     for (pool::pool_command& item : output.observations_)
         group_->enqueue(std::move(item), nullptr);
     if (output.starts_.empty())
@@ -474,6 +486,35 @@
     }
 }
 
+void control_host::implementation::log_events(
+    const std::vector<pool::owner_event>& events)
+{
+    activity_meter::scope scope(meter_, logging);
+    for (const pool::owner_event& event : events)
+        log_.event(event.message_ + ".",
+                   {{"job", event.subject_},
+                    {"term", std::to_string(owned_term_)},
+                    {"applied", std::to_string(replica_->applied())}});
+}
+
+void control_host::implementation::send_calls(
+    const std::vector<pool::worker_call>& calls)
+{
+    activity_meter::scope scope(meter_, worker_calls);
+    for (const pool::worker_call& call : calls) {
+        metrics_.count("worker_calls");
+        std::uint64_t id = call.id_;
+        std::uint64_t term = owned_term_;
+        call_worker_(call, [this, id, term](const pool::call_result& result) {
+            if (owned_term_ != term)
+                return;
+            activity_meter::scope result_scope(meter_, sessions);
+            owner_->handle_result(id, result, steady_now());
+            group_->schedule_flush();
+        });
+    }
+}
+
 void control_host::implementation::review_membership(instant now)
 {
     if (!is_leader() ||
@@ -532,6 +573,8 @@
 void control_host::implementation::tick()
 {
     instant now = steady_now();
+    loop_report_.tick(now);
+    activity_meter::scope scope(meter_, consensus);
     replica_->tick(now);
     if (!replica_->failure().empty() && !failure_reported_) {
         failure_reported_ = true;
@@ -597,6 +640,11 @@
 
 control_host::~control_host() = default;
 
+activity_meter& control_host::meter()
+{
+    return implementation_->meter();
+}
+
 void control_host::announce_worker(const pool::worker_info& info,
                                    std::int64_t clock_ms,
                                    std::uint64_t sequence,
--- a/libs/control/src/group_log.cpp
+++ b/libs/control/src/group_log.cpp
@@ -48,6 +48,7 @@
 {
     flush_scheduled_ = false;
     flushed_at_ = steady_now();
+    activity_meter::scope scope(meter_, consensus);
     if (on_flush_)
         on_flush_();
     // A read must see the commands that were queued before it.
--- a/libs/control/src/group_log.hpp
+++ b/libs/control/src/group_log.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "dandelioncrank/control/control_activity.hpp"
+#include "dandelioncrank/metrics/activity_meter.hpp"
 #include "dandelioncrank/metrics/metric_registry.hpp"
 #include "dandelioncrank/replica/replica.hpp"
 #include "pool_state_machine.hpp"
@@ -21,8 +23,9 @@
         std::function<void(commit_result, pool::pool_reply)>;
     using read_handler = std::function<void(bool granted)>;
 
-    group_log(replica<pool_state_machine>& replica, metric_registry& metrics)
-        : replica_(replica), metrics_(metrics)
+    group_log(replica<pool_state_machine>& replica, metric_registry& metrics,
+              activity_meter& meter)
+        : replica_(replica), metrics_(metrics), meter_(meter)
     {
     }
 
@@ -52,6 +55,7 @@
 
     replica<pool_state_machine>& replica_;
     metric_registry& metrics_;
+    activity_meter& meter_;
     std::vector<queued_command> commands_;
     std::vector<read_handler> reads_;
     bool flush_scheduled_ = false;
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -4,6 +4,7 @@
 #include "dandelioncrank/pool/pool_state.hpp"
 #include "dandelioncrank/pool/worker_calls.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -96,6 +97,9 @@
 
     [[nodiscard]] owner_output take_output();
 
+    /// Runs each plan, if set; lets the caller measure its cost.
+    std::function<void(const std::function<void()>& plan)> around_plan_;
+
   private:
     class worker_session;
 
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -253,8 +253,12 @@
     duration pause = min_plan_interval + workers * min_plan_interval_per_worker;
     bool is_due = (is_dirty_ && now - planned_at_ >= pause) ||
                   now - planned_at_ > replan_interval;
-    if (is_due && !starts_pending_)
-        plan(now, wall_ms);
+    if (is_due && !starts_pending_) {
+        if (around_plan_)
+            around_plan_([this, now, wall_ms] { plan(now, wall_ms); });
+        else
+            plan(now, wall_ms);
+    }
     std::size_t first = output_.calls_.size();
     // The plan may have stopped runs of further sessions. The list of due
     // sessions is in the order of sessions_.
--- a/libs/replica/include/dandelioncrank/replica/replica.hpp
+++ b/libs/replica/include/dandelioncrank/replica/replica.hpp
@@ -173,6 +173,8 @@
     std::function<void()> on_applied_;
     /// Called after each change of role, leader or term.
     std::function<void()> on_role_changed_;
+    /// Runs each write to the disk, if set; lets the caller measure it.
+    std::function<void(const std::function<void()>& store)> around_store_;
 
   private:
     // Time limit for a proposal or a read.
@@ -252,7 +254,10 @@
     void apply_output(consensus_output output, instant now)
     {
         try {
-            storage_->store(output);
+            if (around_store_)
+                around_store_([&] { storage_->store(output); });
+            else
+                storage_->store(output);
         } catch (const storage_error& error) {
             fail(error.what());
             return;
