replica, control: disk writes on a thread of their own

Ruled out: fewer, larger commits (calls would wait longer in calm times). Change: a replica hands writes to an executor; inputs that arrive meanwhile collect in the core and are written together. persisted() names the last index written, so entries replaced during a write do not count. A leader's new entries leave before its own sync, as followers write at the same time; other messages wait for the sync as before, so a leader whose disk stalls still loses its followers. Half of the random cluster runs use such disks.

--- a/bench/state_bench.cpp
+++ b/bench/state_bench.cpp
@@ -97,7 +97,7 @@
                 states_[index]->apply(from_wire<state_command>(entry.data_));
             ++applied_[index];
         }
-        cores_[index]->persisted(now_);
+        cores_[index]->persisted(output.last_index_, now_);
         for (const consensus_message& message : output.messages_) {
             int target = std::stoi(message.to_.str().substr(1));
             QByteArray bytes = to_wire(message);
--- a/libs/consensus/include/dandelioncrank/consensus/consensus_core.hpp
+++ b/libs/consensus/include/dandelioncrank/consensus/consensus_core.hpp
@@ -52,8 +52,8 @@
     void receive(const consensus_message& message, instant now);
     void tick(instant now);
 
-    /// Reports that all outputs taken so far are on disk.
-    void persisted(instant now);
+    /// Reports that the output with this last_index_ is on disk.
+    void persisted(log_index last, instant now);
 
     /// Appends a command and returns its index, or nothing if this replica is
     /// not the leader or is transferring leadership.
--- a/libs/consensus/include/dandelioncrank/consensus/consensus_types.hpp
+++ b/libs/consensus/include/dandelioncrank/consensus/consensus_types.hpp
@@ -224,12 +224,17 @@
 
 /// Actions for the caller, in this order: write and sync the first four
 /// members, send the messages, then apply.
+///
+/// Inputs may reach the core while an output is written, but the next output
+/// must not be taken before persisted() was called for this one.
 struct consensus_output
 {
     std::optional<hard_state> hard_state_;
     std::optional<log_snapshot> snapshot_;
     std::optional<log_index> truncate_from_;
     std::vector<log_entry> entries_;
+    /// Last index of the log when this output was taken.
+    log_index last_index_ = 0;
 
     std::vector<consensus_message> messages_;
     /// Snapshot to restore before the committed entries are applied.
@@ -243,6 +248,11 @@
     {
         return hard_state_ || snapshot_ || truncate_from_ || !entries_.empty();
     }
+
+    /// Removes and returns the messages that may be sent before the sync: a
+    /// leader's new entries, which followers write at the same time. The leader
+    /// counts itself only after persisted().
+    [[nodiscard]] std::vector<consensus_message> take_messages_before_sync();
 };
 
 struct consensus_timing
--- a/libs/consensus/src/consensus_core.cpp
+++ b/libs/consensus/src/consensus_core.cpp
@@ -4,6 +4,7 @@
 #include "replica_log.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace dandelioncrank {
 
@@ -27,6 +28,22 @@
     return "leader";
 }
 
+std::vector<consensus_message> consensus_output::take_messages_before_sync()
+{
+    std::vector<consensus_message> result;
+    // Without a new term or vote to sync, the term of the messages is on disk.
+    if (hard_state_ || snapshot_ || truncate_from_)
+        return result;
+    auto first = std::stable_partition(
+        messages_.begin(), messages_.end(),
+        [](const consensus_message& message) {
+            return !std::holds_alternative<append_request>(message.payload_);
+        });
+    std::move(first, messages_.end(), std::back_inserter(result));
+    messages_.erase(first, messages_.end());
+    return result;
+}
+
 consensus_core::consensus_core(persistent_state state, consensus_timing timing,
                                std::uint64_t seed, instant now,
                                consensus_fault fault)
@@ -84,6 +101,7 @@
 {
     consensus_output output = std::move(output_);
     output_ = {};
+    output.last_index_ = log_->last_index();
     if (fault_ == consensus_fault::vote_not_synced)
         output.hard_state_.reset();
     if (fault_ == consensus_fault::append_not_synced && !is_leader())
@@ -91,9 +109,13 @@
     return output;
 }
 
-void consensus_core::persisted(instant now)
+void consensus_core::persisted(log_index last, instant now)
 {
-    persisted_index_ = log_->last_index();
+    // Entries that were replaced while the output was written are not on disk
+    // in their current form.
+    if (output_.truncate_from_)
+        last = std::min(last, *output_.truncate_from_ - 1);
+    persisted_index_ = std::max(persisted_index_, last);
     if (is_leader())
         advance_commit(now);
 }
--- a/libs/consensus/test/cluster_runs.cpp
+++ b/libs/consensus/test/cluster_runs.cpp
@@ -24,6 +24,7 @@
     options.duplicated_per_mille_ = random() % 2 == 0 ? 30 : 0;
     options.mean_delay_ = std::chrono::milliseconds(1 + random() % 40);
     options.snapshot_threshold_entries_ = 10 + random() % 60;
+    options.has_disk_threads_ = seed % 2 == 1;
     fake_cluster cluster(options);
     instant begin = cluster.now();
     instant end = begin + 15s;
--- a/libs/consensus/test/consensus_core_test.cpp
+++ b/libs/consensus/test/consensus_core_test.cpp
@@ -193,7 +193,7 @@
                 if (request != nullptr)
                     last_append_ = *request;
             }
-            core_.persisted(start + 1min);
+            core_.persisted(output.last_index_, start + 1min);
         }
     }
 
--- a/libs/consensus/test/fake_cluster.cpp
+++ b/libs/consensus/test/fake_cluster.cpp
@@ -124,6 +124,7 @@
     item.core_.reset();
     item.state_.reset();
     item.pending_proposals_.clear();
+    item.is_storing_ = false;
     ++item.incarnation_;
 }
 
@@ -222,7 +223,7 @@
 {
     for (int turn = 0; turn < 100; ++turn) {
         host& item = hosts_[static_cast<std::size_t>(index)];
-        if (!item.core_)
+        if (!item.core_ || item.is_storing_)
             return;
         consensus_output output = item.core_->take_output();
         bool empty = !output.needs_sync() && output.messages_.empty() &&
@@ -233,29 +234,60 @@
             break;
         if (store_part_and_crash(index, output))
             return;
+        if (options_.has_disk_threads_ && output.needs_sync()) {
+            begin_store(index, std::move(output));
+            break;
+        }
         store(item, output);
         duration sync = output.needs_sync() ? random_delay() / 4 : duration();
-        for (const consensus_message& message : output.messages_)
-            deliver(message, sync);
-        if (output.restore_) {
-            item.state_->restore(output.restore_->state_);
-            item.applied_ = output.restore_->index_;
-            ++snapshots_installed_;
-        }
-        for (const log_entry& entry : output.committed_)
-            apply(index, entry);
-        for (const confirmed_read& read : output.confirmed_reads_) {
-            auto found = read_tokens_.find(read.token_);
-            if (found != read_tokens_.end() && item.applied_ >= read.index_)
-                finish_read(found->second, index);
-        }
-        if (item.core_->log_size() > options_.snapshot_threshold_entries_)
-            item.core_->compact(item.applied_, item.state_->snapshot());
-        item.core_->persisted(now_);
+        finish_output(index, output, sync);
     }
     check_leaders();
 }
 
+void fake_cluster::begin_store(int index, consensus_output output)
+{
+    host& item = hosts_[static_cast<std::size_t>(index)];
+    for (const consensus_message& message : output.take_messages_before_sync())
+        deliver(message, duration::zero());
+    item.is_storing_ = true;
+    int incarnation = item.incarnation_;
+    // A crash before the end of the write loses it.
+    at(now_ + random_delay(),
+       [this, index, incarnation, output = std::move(output)] {
+           host& writer = hosts_[static_cast<std::size_t>(index)];
+           if (!writer.core_ || writer.incarnation_ != incarnation)
+               return;
+           writer.is_storing_ = false;
+           store(writer, output);
+           finish_output(index, output, duration::zero());
+           process_output(index);
+       });
+}
+
+void fake_cluster::finish_output(int index, const consensus_output& output,
+                                 duration sync)
+{
+    host& item = hosts_[static_cast<std::size_t>(index)];
+    for (const consensus_message& message : output.messages_)
+        deliver(message, sync);
+    if (output.restore_) {
+        item.state_->restore(output.restore_->state_);
+        item.applied_ = output.restore_->index_;
+        ++snapshots_installed_;
+    }
+    for (const log_entry& entry : output.committed_)
+        apply(index, entry);
+    for (const confirmed_read& read : output.confirmed_reads_) {
+        auto found = read_tokens_.find(read.token_);
+        if (found != read_tokens_.end() && item.applied_ >= read.index_)
+            finish_read(found->second, index);
+    }
+    if (item.core_->log_size() > options_.snapshot_threshold_entries_)
+        item.core_->compact(item.applied_, item.state_->snapshot());
+    item.core_->persisted(output.last_index_, now_);
+}
+
 void fake_cluster::deliver(const consensus_message& message, duration extra)
 {
     auto from = index_.find(message.from_);
--- a/libs/consensus/test/fake_cluster.hpp
+++ b/libs/consensus/test/fake_cluster.hpp
@@ -25,6 +25,8 @@
     int duplicated_per_mille_ = 0;
     duration mean_delay_ = std::chrono::milliseconds(5);
     std::size_t snapshot_threshold_entries_ = 40;
+    /// Messages, ticks and proposals reach a replica while its disk writes.
+    bool has_disk_threads_ = false;
 };
 
 /// Simulated cluster in virtual time: replicas with in-memory disks on a
@@ -97,6 +99,7 @@
         std::map<log_index, std::pair<term_number, std::uint64_t>>
             pending_proposals_;
         int incarnation_ = 0;
+        bool is_storing_ = false;
     };
 
     struct operation
@@ -117,6 +120,10 @@
         bool operator<(const event& other) const;
     };
 
+    /// Carries out an output that is on disk.
+    void finish_output(int index, const consensus_output& output,
+                       duration sync);
+    void begin_store(int index, consensus_output output);
     void tick(int index, int incarnation);
     void process_output(int index);
     void store(host& target, const consensus_output& output);
--- a/libs/control/include/dandelioncrank/control/control_activity.hpp
+++ b/libs/control/include/dandelioncrank/control/control_activity.hpp
@@ -15,8 +15,6 @@
     /// Sockets, timers and the parsing of messages.
     input_output,
     consensus,
-    /// Writes and syncs of the durable state.
-    storage,
     client_calls,
     worker_calls,
     announcements,
@@ -31,9 +29,9 @@
 /// Returns the names of all activities, in the order of their values.
 [[nodiscard]] inline std::vector<std::string> control_activity_names()
 {
-    return {"idle",         "input_output", "consensus",     "storage",
-            "client_calls", "worker_calls", "announcements", "hellos",
-            "planning",     "sessions",     "logging"};
+    return {"idle",         "input_output",  "consensus", "client_calls",
+            "worker_calls", "announcements", "hellos",    "planning",
+            "sessions",     "logging"};
 }
 
 } // namespace dandelioncrank::control
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -5,6 +5,7 @@
 #include "dandelioncrank/core/overloaded.hpp"
 #include "dandelioncrank/peer/peer_server.hpp"
 #include "dandelioncrank/replica/replica.hpp"
+#include "disk_thread.hpp"
 #include "group_log.hpp"
 #include "loop_report.hpp"
 #include "peer_registry.hpp"
@@ -127,6 +128,8 @@
     QObject context_;
     QTimer timer_;
     std::unique_ptr<peer_server> server_;
+    /// Ends before the members that its handlers use.
+    disk_thread disk_;
     std::function<void()> on_stopped_;
     instant stop_began_at_{};
     bool failure_reported_ = false;
@@ -187,9 +190,14 @@
         [this](const QByteArray& bytes, const peer_server::responder& reply) {
             receive_message(bytes, reply);
         });
-    replica_->around_store_ = [this](const std::function<void()>& store) {
-        activity_meter::scope scope(meter_, storage);
-        store();
+    replica_->disk_executor_ = [this](std::function<void()> write,
+                                      std::function<void(instant)> on_done) {
+        instant began = steady_now();
+        disk_.run(std::move(write), [this, began, on_done](instant done_at) {
+            activity_meter::scope scope(meter_, consensus);
+            metrics_.record_duration("disk_write", done_at - began);
+            on_done(done_at);
+        });
     };
     auto* dispatcher = QAbstractEventDispatcher::instance();
     QObject::connect(dispatcher, &QAbstractEventDispatcher::aboutToBlock,
--- a/libs/control/test/loop_report_test.cpp
+++ b/libs/control/test/loop_report_test.cpp
@@ -33,9 +33,9 @@
         control_activity_names().size());
     spent[idle] = 500ms;
     spent[planning] = 300ms;
-    spent[storage] = 200ms;
+    spent[sessions] = 200ms;
     CHECK_FALSE(host.report_.high_load(spent));
-    spent[storage] = 450ms;
+    spent[sessions] = 450ms;
     auto fields = host.report_.high_load(spent);
     REQUIRE(fields);
     CHECK(fields->front() == component_logger::field{"busy_percent", "60"});
--- a/libs/replica/include/dandelioncrank/replica/replica.hpp
+++ b/libs/replica/include/dandelioncrank/replica/replica.hpp
@@ -45,6 +45,10 @@
         std::function<void(commit_result, std::optional<reply>)>;
     using read_handler = std::function<void(bool granted)>;
     using send_action = std::function<void(const consensus_message&)>;
+    /// Runs `write` on another thread, then `on_done` on this one, with the
+    /// time. Not called again before that.
+    using disk_executor = std::function<void(
+        std::function<void()> write, std::function<void(instant now)> on_done)>;
 
     /// Opens the data directory. Throws storage_error.
     replica(const std::string& data_dir, const replica_bootstrap& bootstrap,
@@ -173,8 +177,8 @@
     std::function<void()> on_applied_;
     /// Called after each change of role, leader or term.
     std::function<void()> on_role_changed_;
-    /// Runs each write to the disk, if set; lets the caller measure it.
-    std::function<void(const std::function<void()>& store)> around_store_;
+    /// Writes to the disk; without it, writes block this thread.
+    disk_executor disk_executor_;
 
   private:
     // Time limit for a proposal or a read.
@@ -189,6 +193,12 @@
         propose_handler on_answer_;
     };
 
+    struct pending_write
+    {
+        consensus_output output_;
+        std::string fault_;
+    };
+
     struct pending_read
     {
         instant deadline_;
@@ -222,7 +232,7 @@
         if (processing_output_)
             return;
         processing_output_ = true;
-        while (failure_.empty()) {
+        while (failure_.empty() && !storing_) {
             consensus_output output = core_->take_output();
             bool empty = !output.needs_sync() && output.messages_.empty() &&
                          output.committed_.empty() && !output.restore_ &&
@@ -230,7 +240,7 @@
                          output.failed_reads_.empty();
             if (empty)
                 break;
-            apply_output(std::move(output), now);
+            store_and_apply(std::move(output), now);
         }
         processing_output_ = false;
         report_role();
@@ -251,15 +261,48 @@
             on_role_changed_();
     }
 
-    void apply_output(consensus_output output, instant now)
+    void store_and_apply(consensus_output output, instant now)
+    {
+        if (!output.needs_sync() || !disk_executor_) {
+            std::string fault = store(output);
+            finish_output(output, fault, now);
+            return;
+        }
+        for (const consensus_message& message :
+             output.take_messages_before_sync())
+            send_(message);
+        // Until the write is done, new outputs collect in the core, and are
+        // then written together.
+        storing_ = true;
+        auto item = std::make_shared<pending_write>();
+        item->output_ = std::move(output);
+        disk_executor_([this, item] { item->fault_ = store(item->output_); },
+                       [this, item](instant done_at) {
+                           // Handlers may propose again meanwhile.
+                           processing_output_ = true;
+                           storing_ = false;
+                           finish_output(item->output_, item->fault_, done_at);
+                           processing_output_ = false;
+                           process_output(done_at);
+                       });
+    }
+
+    /// Returns the fault, or an empty text.
+    [[nodiscard]] std::string store(const consensus_output& output)
     {
         try {
-            if (around_store_)
-                around_store_([&] { storage_->store(output); });
-            else
-                storage_->store(output);
+            storage_->store(output);
         } catch (const storage_error& error) {
-            fail(error.what());
+            return error.what();
+        }
+        return {};
+    }
+
+    void finish_output(const consensus_output& output, const std::string& fault,
+                       instant now)
+    {
+        if (!fault.empty()) {
+            fail(fault);
             return;
         }
         for (const consensus_message& message : output.messages_)
@@ -279,7 +322,7 @@
             finish_read(token, false);
         if (core_->log_size() > snapshot_threshold_entries)
             core_->compact(applied_, machine_.snapshot());
-        core_->persisted(now);
+        core_->persisted(output.last_index_, now);
     }
 
     void apply(const log_entry& entry)
@@ -346,6 +389,8 @@
     std::string failure_;
     std::tuple<replica_role, term_number, voter_name> last_reported_;
     bool processing_output_ = false;
+    /// An output is being written by the disk executor.
+    bool storing_ = false;
 };
 
 } // namespace dandelioncrank
