--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -24,6 +24,17 @@
 /// Identifies a step of one occurrence of a job.
 using step_key = std::tuple<job_id, std::uint32_t, std::uint32_t>;
 
+/// Preemption in favour of a step that is still waiting.
+struct clearing
+{
+    /// When the first run was preempted for it.
+    instant since_{};
+    /// Core-seconds lost so far by all runs that were preempted for it.
+    double lost_work_ = 0;
+    /// The rack that is cleared, if the step wants a single one.
+    std::string rack_;
+};
+
 /// Why a runnable step is still waiting.
 enum class wait_reason
 {
@@ -49,8 +60,8 @@
     std::map<worker_name, int> usable_workers_;
     std::unordered_map<run_ref, run_observation, run_hash> runs_;
     std::map<job_id, instant> accepted_at_;
-    /// Racks that the previous plan began to clear for a gang.
-    std::map<step_key, std::string> racks_being_cleared_;
+    /// Steps for which earlier plans have preempted other work.
+    std::map<step_key, clearing> clearings_;
     /// Start of the wait of each step that the previous plan left waiting.
     std::map<step_key, instant> waiting_since_;
 };
@@ -70,7 +81,7 @@
 {
     std::vector<start_run> starts_;
     std::vector<preemption> preemptions_;
-    std::map<step_key, std::string> racks_being_cleared_;
+    std::map<step_key, clearing> clearings_;
     /// Steps that start away from their data or spread over several racks.
     std::set<step_key> spread_steps_;
     /// Steps with tasks that stay waiting, with the reason.
@@ -80,12 +91,13 @@
 /// Decides which waiting tasks start on which workers and which running tasks
 /// are preempted.
 ///
-/// Jobs within their team's guarantee are placed first, then jobs by priority
-/// and by whether they can still meet their deadline; within the same rank,
-/// small jobs come first. Jobs of priority 0 may preempt work of lower
-/// priority; jobs within a guarantee may also preempt priority-0 work that is
-/// outside of any. Rack-sensitive work waits for a suitable rack, unless a
-/// large part of the pool is idle.
+/// Steps for which work was preempted are placed first for some seconds, so
+/// that nothing else takes the cleared resources. Then come jobs within their
+/// team's guarantee, then jobs by priority and by whether they can still meet
+/// their deadline; within the same rank, small jobs come first. Jobs of
+/// priority 0 may preempt work of lower priority; jobs within a guarantee may
+/// also preempt priority-0 work that is outside of any. Rack-sensitive work
+/// waits for a suitable rack, unless a large part of the pool is idle.
 [[nodiscard]] placement_plan make_plan(const pool_state& state,
                                        const planner_input& input);
 
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -143,7 +143,7 @@
     std::uint64_t seen_run_changes_ = 0;
     std::unordered_map<std::uint64_t, worker_name> calls_;
     std::map<job_id, instant> accepted_at_;
-    std::map<step_key, std::string> racks_being_cleared_;
+    std::map<step_key, clearing> clearings_;
     std::map<step_key, wait_entry> waits_;
     bool is_dirty_ = true;
     /// Workers revision of the state that the sessions match.
--- a/libs/pool/src/pending_unit.cpp
+++ b/libs/pool/src/pending_unit.cpp
@@ -9,8 +9,15 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 // Added to the rank of expired jobs, so that they come last.
 constexpr int expired_rank_offset = 100;
+// Steps for which work is being preempted come first for this long: stops take
+// some hundred milliseconds, and several may be needed one after the other.
+constexpr duration clearing_hold_time = 3s;
+constexpr int clearing_rank = -1;
+
 // Priorities above this get the same rank, which stays ahead of expired work.
 constexpr int max_ranked_priority = 40;
 
@@ -36,6 +43,12 @@
     if (accepted != input.accepted_at_.end())
         unit.age_ = input.now_ - accepted->second;
     unit.rank_ = rank_of(unit);
+    auto cleared = input.clearings_.find(unit.key());
+    if (cleared != input.clearings_.end() && unit.may_preempt() &&
+        input.now_ - cleared->second.since_ < clearing_hold_time) {
+        unit.rank_ = clearing_rank;
+        unit.cleared_since_ = cleared->second.since_;
+    }
     const step_spec& spec = unit.spec();
     unit.work_ =
         to_seconds(spec.estimate_) * core_equivalents(spec.need_) * spec.count_;
@@ -143,8 +156,8 @@
     }
     std::stable_sort(units.begin(), units.end(),
                      [](const pending_unit& a, const pending_unit& b) {
-                         return std::tie(a.rank_, a.work_) <
-                                std::tie(b.rank_, b.work_);
+                         return std::tie(a.rank_, a.cleared_since_, a.work_) <
+                                std::tie(b.rank_, b.cleared_since_, b.work_);
                      });
     return units;
 }
--- a/libs/pool/src/pending_unit.hpp
+++ b/libs/pool/src/pending_unit.hpp
@@ -19,6 +19,8 @@
     bool is_guaranteed_ = false;
     /// Lower ranks are placed first; see rank_of().
     int rank_ = 0;
+    /// When other work was first preempted for it, while that ranks it first.
+    instant cleared_since_{};
     /// Declared work of the whole step, in core-seconds.
     double work_ = 0;
     duration age_{};
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -98,6 +98,9 @@
             if (where && may_spread_over_racks(unit)) {
                 plan_.spread_steps_.insert(unit.key());
             } else {
+                auto earlier = input_.clearings_.find(unit.key());
+                if (earlier != input_.clearings_.end())
+                    plan_.clearings_.insert(*earlier);
                 if (unit.may_preempt())
                     try_preemption(unit);
                 return std::nullopt;
@@ -138,11 +141,17 @@
         return table_.free_accelerators() - need >= headroom;
     }
 
-    [[nodiscard]] static bool is_worthwhile(const pending_unit& unit,
-                                            const placement& where)
+    /// The work lost by earlier plans counts as well: otherwise a unit whose
+    /// cleared resources get lost again would stop work without a limit.
+    [[nodiscard]] bool is_worthwhile(const pending_unit& unit,
+                                     const placement& where) const
     {
         bool is_due = unit.is_guaranteed_ && unit.age_ >= guarantee_grace_time;
-        return is_due || where.cost_ <= max_lost_per_gained_work * unit.work_;
+        auto earlier = input_.clearings_.find(unit.key());
+        double lost = where.cost_;
+        if (earlier != input_.clearings_.end() && where.cost_ > 0)
+            lost += earlier->second.lost_work_;
+        return is_due || lost <= max_lost_per_gained_work * unit.work_;
     }
 
     [[nodiscard]] start_run make_start(const pending_unit& unit,
@@ -186,8 +195,11 @@
         }
         for (worker_index index : where.workers_)
             table_.reserve(index, unit);
-        if (!where.rack_.empty())
-            plan_.racks_being_cleared_[unit.key()] = where.rack_;
+        clearing& entry = plan_.clearings_[unit.key()];
+        if (entry.lost_work_ == 0)
+            entry.since_ = input_.now_;
+        entry.lost_work_ += where.cost_;
+        entry.rack_ = where.rack_;
     }
 
     const pool_state& state_;
--- a/libs/pool/src/placement_search.cpp
+++ b/libs/pool/src/placement_search.cpp
@@ -195,12 +195,12 @@
 {
     // Stay with the rack that is already being cleared: changing racks would
     // preempt work in both.
-    auto cleared = input_.racks_being_cleared_.find(unit.key());
-    if (cleared != input_.racks_being_cleared_.end()) {
-        if (auto rack = table_.find_rack(cleared->second)) {
+    auto cleared = input_.clearings_.find(unit.key());
+    if (cleared != input_.clearings_.end()) {
+        if (auto rack = table_.find_rack(cleared->second.rack_)) {
             auto here = find_on(unit, table_.racks()[*rack].workers_, true);
             if (here) {
-                here->rack_ = cleared->second;
+                here->rack_ = cleared->second.rack_;
                 return here;
             }
         }
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -137,7 +137,7 @@
     due_.clear();
     calls_.clear();
     accepted_at_.clear();
-    racks_being_cleared_.clear();
+    clearings_.clear();
     waits_.clear();
     starts_pending_ = false;
     output_ = {};
@@ -377,7 +377,7 @@
         found->second = now - std::chrono::milliseconds(age);
     }
     input.accepted_at_ = accepted_at_;
-    input.racks_being_cleared_ = racks_being_cleared_;
+    input.clearings_ = clearings_;
     for (const auto& [step, entry] : waits_)
         input.waiting_since_[step] = entry.since_;
     return input;
@@ -413,14 +413,16 @@
     planned_at_ = now;
     planner_input input = make_input(now, wall_ms);
     placement_plan result = make_plan(state_, input);
-    for (const auto& [step, rack] : result.racks_being_cleared_) {
-        auto before = racks_being_cleared_.find(step);
-        if (before == racks_being_cleared_.end() || before->second != rack)
+    for (const auto& [step, entry] : result.clearings_) {
+        auto before = clearings_.find(step);
+        bool is_new =
+            before == clearings_.end() || before->second.rack_ != entry.rack_;
+        if (is_new && !entry.rack_.empty())
             output_.events_.push_back(
                 {std::get<0>(step).str(),
-                 "clearing rack " + rack + " for the job"});
+                 "clearing rack " + entry.rack_ + " for the job"});
     }
-    racks_being_cleared_ = std::move(result.racks_being_cleared_);
+    clearings_ = std::move(result.clearings_);
     update_waits(result.waits_, now);
     for (const preemption& item : result.preemptions_) {
         request_stop(item.run_);
--- a/libs/pool/test/placement_planner_test.cpp
+++ b/libs/pool/test/placement_planner_test.cpp
@@ -238,15 +238,70 @@
     step.is_rack_sensitive_ = true;
     pool.submit("b", {step}, 0);
     placement_plan first = pool.plan();
-    REQUIRE(first.racks_being_cleared_.size() == 1);
-    std::string rack = first.racks_being_cleared_.begin()->second;
-    pool.input_.racks_being_cleared_ = first.racks_being_cleared_;
+    REQUIRE(first.clearings_.size() == 1);
+    std::string rack = first.clearings_.begin()->second.rack_;
+    pool.input_.clearings_ = first.clearings_;
     // Work in the other rack has become cheaper to preempt.
     for (auto& [run, seen] : pool.input_.runs_)
         seen.started_at_ = pool.input_.now_;
     placement_plan second = pool.plan();
-    REQUIRE(second.racks_being_cleared_.size() == 1);
-    CHECK(second.racks_being_cleared_.begin()->second == rack);
+    REQUIRE(second.clearings_.size() == 1);
+    CHECK(second.clearings_.begin()->second.rack_ == rack);
+}
+
+// Pattern: a stream of small urgent jobs arrives while a rack is cleared for an
+// urgent gang. They took the cleared workers, and the gang stopped further work
+// in 56 rounds. Seen in arreola-rol-large scale-1 and in grown leaves.toml,
+// seed 363868962908.
+TEST_CASE("small urgent jobs do not take what was cleared for a gang",
+          "[placement_planner]")
+{
+    pool_fixture pool(4, 2);
+    job_id filler =
+        pool.submit("a", {pool_fixture::make_step(32, 1, false)}, 2);
+    pool.plan_and_start();
+    pool.input_.now_ += std::chrono::seconds(2);
+    step_spec step = pool_fixture::make_step(2, 8, true);
+    step.estimate_ = std::chrono::seconds(20);
+    job_id gang = pool.submit("b", {step}, 0);
+    placement_plan first = pool.plan();
+    REQUIRE(first.preemptions_.size() == 16);
+    pool.input_.clearings_ = first.clearings_;
+    pool.input_.now_ += std::chrono::milliseconds(100);
+    // All stopped runs but one have ended when the small jobs arrive.
+    for (const preemption& item : first.preemptions_)
+        pool.input_.runs_[item.run_].is_stopping_ = true;
+    for (std::size_t i = 1; i < first.preemptions_.size(); ++i)
+        pool.end_run(first.preemptions_[i].run_, run_outcome::stopped);
+    for (int i = 0; i < 20; ++i)
+        pool.submit("small" + std::to_string(i),
+                    {pool_fixture::make_step(1, 1, false)}, 0);
+    placement_plan second = pool.plan_and_start();
+    for (const preemption& item : second.preemptions_)
+        CHECK(item.for_job_ != gang);
+    pool.input_.clearings_ = second.clearings_;
+    pool.end_run(first.preemptions_[0].run_, run_outcome::stopped);
+    placement_plan third = pool.plan();
+    bool gang_starts = false;
+    for (const start_run& command : third.starts_)
+        gang_starts = gang_starts || command.job_ == gang;
+    CHECK(gang_starts);
+}
+
+// A gang whose cleared resources are lost again, for example with their
+// workers, may not stop other work without a limit.
+TEST_CASE("all work lost for a waiting gang counts against its own",
+          "[placement_planner]")
+{
+    pool_fixture pool(2);
+    pool.submit("a", {pool_fixture::make_step(16, 1, false)}, 2);
+    pool.plan_and_start();
+    pool.input_.now_ += std::chrono::seconds(2);
+    job_id gang = pool.submit("b", {pool_fixture::make_step(2, 8, true)}, 0);
+    REQUIRE_FALSE(pool.plan().preemptions_.empty());
+    step_key step{gang, 0, 0};
+    pool.input_.clearings_[step] = {pool.input_.now_, 1'000'000, ""};
+    CHECK(pool.plan().preemptions_.empty());
 }
 
 // An expired job ranks last, so a wide expired gang that may preempt stops the
--- a/libs/pool/test/pool_fixture.hpp
+++ b/libs/pool/test/pool_fixture.hpp
@@ -128,6 +128,19 @@
         }
     }
 
+    /// Reports the outcome of one run.
+    void end_run(const run_ref& run, run_outcome outcome)
+    {
+        const task_ref& at = run.task_;
+        worker_name worker = state_.find_job(at.job_)
+                                 ->occurrences_[at.occurrence_]
+                                 .steps_[at.step_]
+                                 .tasks_[at.index_]
+                                 .worker_;
+        state_.apply(
+            record_outcomes{worker, 1, {{++sequence_, run, outcome, {}}}});
+    }
+
     pool_state state_;
     planner_input input_;
 
