consensus: entries in flight are not sent again, and none wait for empty requests

New entries also waited for the reply to the request that only told the commit index. Change: a heartbeat repeats entries only when a heartbeat interval has passed; only entries in flight hold back others; flushes are at least 6 ms apart. Every seed of the random cluster runs is played with both kinds of disks.

--- a/libs/consensus/include/dandelioncrank/consensus/consensus_core.hpp
+++ b/libs/consensus/include/dandelioncrank/consensus/consensus_core.hpp
@@ -104,6 +104,8 @@
         /// carry no entries.
         bool probing_ = true;
         bool in_flight_ = false;
+        /// Last index of the entries in flight; 0 if there are none.
+        log_index in_flight_last_ = 0;
         instant sent_at_{};
         instant last_contact_at_{};
         std::uint64_t round_ = 0;
--- a/libs/consensus/src/replication.cpp
+++ b/libs/consensus/src/replication.cpp
@@ -38,7 +38,7 @@
     for (const voter_name& name : targets) {
         const progress& peer = peers_.at(name);
         // Flow control: at most one batch is in flight per follower. It is
-        // sent again with the next heartbeat if no reply arrives.
+        // sent again with a later heartbeat if no reply arrives.
         if (with_heartbeat || !peer.in_flight_)
             send_append(name, now);
     }
@@ -56,12 +56,19 @@
     request.previous_term_ = *log_->term_at(peer.next_ - 1);
     request.commit_ = commit_;
     request.round_ = round_;
+    // A heartbeat that overtakes the reply to a batch does not repeat it.
+    bool awaits_reply = peer.in_flight_last_ >= peer.next_ &&
+                        now - peer.sent_at_ < timing_.heartbeat_interval_;
     // While probing, an empty request finds the point where the logs match.
-    if (!peer.probing_)
+    if (!peer.probing_ && !awaits_reply) {
         request.entries_ =
             log_->slice(peer.next_, max_batch_entries, max_batch_bytes);
-    peer.in_flight_ = true;
-    peer.sent_at_ = now;
+        peer.in_flight_last_ =
+            request.entries_.empty() ? 0 : request.entries_.back().index_;
+        peer.sent_at_ = now;
+    }
+    // Entries need not wait for the reply to a request without any.
+    peer.in_flight_ = peer.probing_ || peer.in_flight_last_ >= peer.next_;
     send(to, std::move(request));
 }
 
@@ -155,7 +162,10 @@
         return;
     progress& peer = found->second;
     peer.last_contact_at_ = now;
-    peer.in_flight_ = false;
+    if (!reply.matched_ || reply.index_ >= peer.in_flight_last_) {
+        peer.in_flight_ = false;
+        peer.in_flight_last_ = 0;
+    }
     peer.round_ = std::max(peer.round_, reply.round_);
     if (!reply.matched_) {
         if (reply.index_ + 1 < peer.next_) {
@@ -170,8 +180,8 @@
     peer.next_ = std::max(peer.next_, peer.match_ + 1);
     confirm_reads();
     advance_commit(now);
-    if (peers_.contains(message.from_) && is_leader() &&
-        peer.next_ <= log_->last_index())
+    bool is_peer = is_leader() && peers_.contains(message.from_);
+    if (is_peer && !peer.in_flight_ && peer.next_ <= log_->last_index())
         send_append(message.from_, now);
 }
 
--- a/libs/consensus/test/cluster_runs.cpp
+++ b/libs/consensus/test/cluster_runs.cpp
@@ -13,7 +13,7 @@
 
 /// Runs clients against a cluster in which hosts crash, are partitioned,
 /// transfer leadership and are replaced at random times.
-void run_seed(std::uint64_t seed, consensus_fault fault)
+void run_seed(std::uint64_t seed, consensus_fault fault, bool has_disk_threads)
 {
     std::mt19937_64 random(seed);
     cluster_options options;
@@ -24,7 +24,7 @@
     options.duplicated_per_mille_ = random() % 2 == 0 ? 30 : 0;
     options.mean_delay_ = std::chrono::milliseconds(1 + random() % 40);
     options.snapshot_threshold_entries_ = 10 + random() % 60;
-    options.has_disk_threads_ = seed % 2 == 1;
+    options.has_disk_threads_ = has_disk_threads;
     fake_cluster cluster(options);
     instant begin = cluster.now();
     instant end = begin + 15s;
@@ -108,7 +108,8 @@
                                           consensus_fault fault)
 {
     try {
-        run_seed(seed, fault);
+        for (bool has_disk_threads : {false, true})
+            run_seed(seed, fault, has_disk_threads);
         return std::nullopt;
     } catch (const std::logic_error& error) {
         return error.what();
--- a/libs/consensus/test/consensus_core_test.cpp
+++ b/libs/consensus/test/consensus_core_test.cpp
@@ -162,9 +162,7 @@
     void acknowledge()
     {
         process_output();
-        answer(append_reply{
-            true, last_append_.previous_index_ + last_append_.entries_.size(),
-            last_append_.round_});
+        answer(append_reply{true, last_sent_index_, last_append_.round_});
         process_output();
     }
 
@@ -190,8 +188,13 @@
             for (const consensus_message& message : output.messages_) {
                 const auto* request =
                     std::get_if<append_request>(&message.payload_);
-                if (request != nullptr)
-                    last_append_ = *request;
+                if (request == nullptr)
+                    continue;
+                last_append_ = *request;
+                entries_sent_ += request->entries_.size();
+                last_sent_index_ =
+                    std::max(last_sent_index_, request->previous_index_ +
+                                                   request->entries_.size());
             }
             core_.persisted(output.last_index_, start + 1min);
         }
@@ -200,6 +203,8 @@
     consensus_core core_;
     std::vector<std::uint64_t> confirmed_reads_;
     std::vector<std::uint64_t> failed_reads_;
+    /// Entries sent, counted for each follower.
+    std::size_t entries_sent_ = 0;
 
   private:
     static persistent_state make_state()
@@ -219,6 +224,7 @@
     }
 
     append_request last_append_;
+    log_index last_sent_index_ = 0;
 };
 
 } // namespace
@@ -260,3 +266,61 @@
     CHECK(leader.core_.status().commit_ == 2);
     CHECK(leader.confirmed_reads_ == std::vector<std::uint64_t>{7});
 }
+
+// With every round of reads the entries in flight were sent to each follower
+// again: 1.2 GB in place of 0.2 on arreola-rol-large quiet-1.
+TEST_CASE("a heartbeat does not repeat the entries in flight", "[consensus]")
+{
+    leader_harness leader;
+    leader.acknowledge();
+    leader.acknowledge();
+    // Only the follower that has acknowledged entries gets more.
+    std::size_t before = leader.entries_sent_;
+    leader.core_.propose("command", start + 1min);
+    leader.process_output();
+    CHECK(leader.entries_sent_ == before + 1);
+    for (std::uint64_t token = 1; token <= 5; ++token)
+        CHECK(leader.core_.request_read(token, start + 1min));
+    leader.process_output();
+    CHECK(leader.entries_sent_ == before + 1);
+    SECTION("a lost batch is sent again after a heartbeat interval")
+    {
+        leader.core_.tick(start + 1min + 200ms);
+        leader.process_output();
+        CHECK(leader.entries_sent_ == before + 2);
+    }
+    SECTION("the next entries follow the acknowledgement")
+    {
+        leader.core_.propose("another", start + 1min);
+        leader.process_output();
+        CHECK(leader.entries_sent_ == before + 1);
+        leader.acknowledge();
+        CHECK(leader.entries_sent_ == before + 2);
+    }
+}
+
+// Pattern: entries that a disk thread was writing are replaced meanwhile.
+TEST_CASE("an entry replaced during its write does not count as written",
+          "[consensus]")
+{
+    leader_harness leader;
+    leader.acknowledge();
+    leader.acknowledge();
+    leader.core_.propose("lost", start + 1min);
+    consensus_output written = leader.core_.take_output();
+    REQUIRE(written.last_index_ == 2);
+    CHECK(written.take_messages_before_sync().size() == 1);
+    CHECK(written.messages_.empty());
+    // A new leader replaces entry 2, then both others acknowledge nothing.
+    append_request other;
+    other.previous_index_ = 1;
+    other.previous_term_ = 1;
+    other.entries_ = {{2, 5, entry_kind::no_op, {}}};
+    leader.core_.receive({voter_name("b"), voter_name("a"), 5, other},
+                         start + 1min);
+    leader.core_.persisted(written.last_index_, start + 1min);
+    consensus_output next = leader.core_.take_output();
+    CHECK(next.truncate_from_ == 2U);
+    CHECK(next.take_messages_before_sync().empty());
+    CHECK(leader.core_.status().commit_ == 1);
+}
--- a/libs/control/src/group_log.cpp
+++ b/libs/control/src/group_log.cpp
@@ -13,9 +13,8 @@
 
 using namespace std::chrono_literals;
 
-// Minimum interval between two flushes while a commit is in flight: commands
-// that arrive within it share one log entry, one sync and one round of messages
-// to every member.
+// Minimum interval between two flushes: commands and reads that arrive within
+// it share one log entry, one sync and one round of messages to every member.
 constexpr auto min_flush_interval = 6ms;
 
 } // namespace
@@ -37,10 +36,8 @@
     if (flush_scheduled_)
         return;
     flush_scheduled_ = true;
-    std::chrono::milliseconds delay{};
-    if (commits_in_flight_ > 0)
-        delay = std::chrono::ceil<std::chrono::milliseconds>(
-            time_left(steady_now(), flushed_at_ + min_flush_interval));
+    auto delay = std::chrono::ceil<std::chrono::milliseconds>(
+        time_left(steady_now(), flushed_at_ + min_flush_interval));
     QTimer::singleShot(delay, Qt::PreciseTimer, &context_, [this] { flush(); });
 }
 
@@ -93,14 +90,12 @@
     for (const queued_command& item : commands)
         entry.push_back(item.command_);
     metrics_.count("commits");
-    ++commits_in_flight_;
     instant sent_at = steady_now();
     replica_.propose(
         to_wire(entry), sent_at,
         [this, batch = std ::move(commands),
          sent_at](commit_result end,
                   std ::optional<pool_state_machine ::reply> replies) {
-            --commits_in_flight_;
             if (end == commit_result ::committed)
                 metrics_.record_duration("commit", steady_now() - sent_at);
             for (std::size_t i = 0; i < batch.size(); ++i) {
--- a/libs/control/src/group_log.hpp
+++ b/libs/control/src/group_log.hpp
@@ -60,7 +60,6 @@
     std::vector<read_handler> reads_;
     bool flush_scheduled_ = false;
     instant flushed_at_{};
-    int commits_in_flight_ = 0;
     /// Cancels pending timers when this object is destroyed.
     QObject context_;
 };
