pool: leases of at most seven seconds

Ruled out: 5.5 s as on the other deployments; an outage of all control hosts of 2 s with its election and first looks would end all work. Change: lease_within() bounds the lease by 7 s. The other deployments accept 6 s and do not change.

--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -60,9 +60,6 @@
     "\n"
     "settings:\n";
 
-// Percentage of the longest lease that is requested; the rest covers clock
-// differences.
-constexpr int lease_percent = 92;
 // Number of missed announcements after which a worker gets no new work.
 constexpr int missed_announcements = 3;
 
@@ -180,7 +177,7 @@
     pool::owner_timing& timing = settings.timing_;
     timing.longest_lease_ = check_range(
         "longest_lease", absl::GetFlag(FLAGS_longest_lease), 2s, 1h, faults);
-    timing.lease_ = timing.longest_lease_ * lease_percent / 100;
+    timing.lease_ = pool::lease_within(timing.longest_lease_);
     timing.silence_timeout_ =
         missed_announcements *
         check_range("announce_interval", absl::GetFlag(FLAGS_announce_interval),
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -36,6 +36,10 @@
     duration stall_timeout_ = std::chrono::milliseconds(4500);
 };
 
+/// Returns the duration of the leases to grant where workers accept leases of
+/// up to `longest_lease`.
+[[nodiscard]] duration lease_within(duration longest_lease);
+
 /// A decision or observation, for the log.
 struct owner_event
 {
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -37,6 +37,14 @@
 // Percentage of workers that may be quarantined for failing jobs.
 constexpr std::size_t max_quarantined_percent = 30;
 
+// Percentage of the longest lease that is requested; the rest covers clock
+// differences.
+constexpr int lease_percent = 92;
+// Work on a worker that is lost starts again only after its lease. Work on all
+// workers outlives an outage of the owner that is shorter than a lease without
+// the longest wait of a hold call.
+constexpr duration max_lease = 7s;
+
 // Maximum number of workers named in a log message.
 constexpr std::size_t max_logged_workers = 3;
 
@@ -52,6 +60,11 @@
 
 } // namespace
 
+duration lease_within(duration longest_lease)
+{
+    return std::min(longest_lease * lease_percent / 100, max_lease);
+}
+
 std::string to_text(call_verdict value)
 {
     switch (value) {
--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -13,7 +13,8 @@
 class owner_fixture : public pool_fixture
 {
   public:
-    owner_fixture() : pool_fixture(1), owner_(state_, owner_timing{})
+    explicit owner_fixture(const owner_timing& timing = {})
+        : pool_fixture(1), owner_(state_, timing)
     {
         owner_.begin(1, now_);
         owner_.record_announcement(name_of(0), 1, clock(), now_);
@@ -332,3 +333,34 @@
         pool.state_.find_job(id)->occurrences_[0].steps_[0].tasks_[0].worker_ ==
         worker_name());
 }
+
+// Pattern: a sixth of the workers vanish at once while urgent jobs burst. With
+// leases of 9.2 s their urgent tasks of 2 s started again when the jobs had
+// lost their worth. Seen in arreola-rol-large scale-1.
+TEST_CASE("work on a worker that vanished starts again after seven seconds",
+          "[pool_owner]")
+{
+    owner_timing timing;
+    timing.longest_lease_ = 10s;
+    timing.lease_ = lease_within(timing.longest_lease_);
+    owner_fixture pool(timing);
+    // Leases that an earlier owner may have granted are over.
+    pool.advance(11s);
+    pool.owner_.record_announcement(pool_fixture::name_of(0), 1, pool.clock(),
+                                    pool.now_);
+    // Long enough for the next plan.
+    pool.now_ += 100ms;
+    worker_call hold =
+        pool.start_run_on_worker(pool_fixture::make_step(1, 1, false));
+    pool.drop(hold);
+    for (int i = 0; i < 74; ++i) {
+        for (const worker_call& call : pool.advance(100ms))
+            pool.drop(call);
+    }
+    CHECK(pool.state_.runs_on(pool_fixture::name_of(0)).empty());
+}
+
+TEST_CASE("a lease leaves room for clock differences", "[pool_owner]")
+{
+    CHECK(lease_within(6s) == 5520ms);
+}
