--- a/libs/control/include/dandelioncrank/control/control_activity.hpp
+++ b/libs/control/include/dandelioncrank/control/control_activity.hpp
@@ -10,9 +10,10 @@
 /// recorded.
 enum control_activity : std::size_t
 {
-    /// The loop waits for events.
+    /// The loop waits for events or reads sockets; Qt does not report when the
+    /// one ends and the other begins.
     idle,
-    /// Sockets, timers and the parsing of messages.
+    /// Calls posted to the loop.
     input_output,
     consensus,
     client_calls,
