pool: lines that say how an end was noticed, and a count of runs that outlive it

The log could not tell by what an incarnation was taken for ended, nor whether a run that was given up was still listed by its worker afterwards; both are needed to tell the three hypotheses apart. 'has a new incarnation' names its evidence (an answer, another process at the address, an announcement). A listed run that the state does not hold gets one line and counts in runs_listed_after_end. No logic changes.

--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -130,6 +130,7 @@
     void close_session(const worker_session& session);
     /// Returns the end of an incarnation that was replaced, and judges why.
     [[nodiscard]] end_incarnation end_replaced(worker_session& session,
+                                               const std::string& evidence,
                                                instant now);
     [[nodiscard]] std::unique_ptr<loss_monitor> make_loss_monitor() const;
     /// Delays the next start of tasks whose runs have lapsed repeatedly.
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -208,12 +208,18 @@
         const worker_info& known = state_.worker_at(name).info_;
         if (name != announced.name_ && known.address_ != announced.address_)
             continue;
-        result.push_back(end_replaced(*session, now));
+        result.push_back(end_replaced(
+            *session,
+            "an announcement of " + announced.name_.str() + " incarnation " +
+                std::to_string(announced.incarnation_),
+            now));
     }
     return result;
 }
 
-end_incarnation pool_owner::end_replaced(worker_session& session, instant now)
+end_incarnation pool_owner::end_replaced(worker_session& session,
+                                         const std::string& evidence,
+                                         instant now)
 {
     if (!session.verdict()) {
         std::vector<lost_worker> out_of_contact;
@@ -224,7 +230,7 @@
         session.report_loss(losses_->judge(session.describe_loss(now),
                                            out_of_contact, sessions_.size(),
                                            now),
-                            output_);
+                            evidence, output_);
     }
     return session.incarnation_end(session.verdict()->cause_);
 }
@@ -269,8 +275,9 @@
     if (session == sessions_.end() || !is_current(*session->second))
         return;
     session->second->handle_result(call, result, now, output_);
-    if (session->second->take_replaced())
-        output_.observations_.push_back(end_replaced(*session->second, now));
+    if (auto evidence = session->second->take_replaced())
+        output_.observations_.push_back(
+            end_replaced(*session->second, *evidence, now));
     due_.insert(session->first);
     is_dirty_ = true;
 }
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -272,13 +272,14 @@
 }
 
 void pool_owner::worker_session::report_loss(const loss_verdict& verdict,
+                                             const std::string& evidence,
                                              owner_output& out)
 {
     verdict_ = verdict;
     std::string text =
-        "worker " + worker_.str() + " has a new incarnation; incarnation " +
-        std::to_string(incarnation_) + " has ended, " + verdict.reason_ +
-        ", with " + std::to_string(runs_.size()) + " runs";
+        "worker " + worker_.str() + " has a new incarnation, by " + evidence +
+        "; incarnation " + std::to_string(incarnation_) + " has ended, " +
+        verdict.reason_ + ", with " + std::to_string(runs_.size()) + " runs";
     std::size_t named = 0;
     for (const auto& [run, entry] : runs_) {
         if (++named > max_logged_runs) {
@@ -297,9 +298,9 @@
     out.events_.push_back({worker_.str(), text, counter});
 }
 
-bool pool_owner::worker_session::take_replaced()
+std::optional<std::string> pool_owner::worker_session::take_replaced()
 {
-    return std::exchange(is_replaced_, false);
+    return std::exchange(replaced_evidence_, std::nullopt);
 }
 
 void pool_owner::worker_session::propose_incarnation_end(instant now,
@@ -465,7 +466,10 @@
         answer.verdict_ == call_verdict::other_incarnation ||
         (answer.incarnation_ != 0 && answer.incarnation_ != incarnation_);
     if (other) {
-        is_replaced_ = true;
+        replaced_evidence_ = answer.incarnation_ == 0
+                                 ? "another process at its address"
+                                 : "an answer of incarnation " +
+                                       std::to_string(answer.incarnation_);
         next_hold_at_ = now + proposal_retry_time;
         return;
     }
@@ -635,12 +639,13 @@
                                            owner_output& out)
 {
     std::set<run_ref> reported;
+    std::set<run_ref> unknown;
     for (const reported_run& row : answer.running_) {
         reported.insert(row.run_);
         auto found = runs_.find(row.run_);
         if (found == runs_.end()) {
             if (!state_.runs_on(worker_).contains(row.run_))
-                unknown_runs_.insert(row.run_);
+                unknown.insert(row.run_);
             continue;
         }
         run_entry& entry = found->second;
@@ -657,6 +662,16 @@
         if (!row.checkpoint_.empty())
             entry.checkpoint_ = row.checkpoint_;
     }
+    for (const run_ref& run : unknown) {
+        if (!listed_unknown_.contains(run))
+            out.events_.push_back({run.task_.job_.str(),
+                                   "run " + to_text(run) +
+                                       " is still listed by " + worker_.str() +
+                                       " after its end; stopping it",
+                                   "runs_listed_after_end"});
+    }
+    unknown_runs_.insert(unknown.begin(), unknown.end());
+    listed_unknown_ = std::move(unknown);
     for (const reported_outcome& item : answer.ended_)
         reported.insert(item.run_);
     for (auto& [run, entry] : runs_) {
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -52,11 +52,13 @@
     [[nodiscard]] bool is_out_of_contact() const { return lost_calls_ > 0; }
     /// Describes the loss of this worker, which is now at the latest.
     [[nodiscard]] lost_worker describe_loss(instant now) const;
-    /// Whether an answer has shown that a new incarnation has replaced this
-    /// one, since the last call.
-    [[nodiscard]] bool take_replaced();
-    /// Logs once what is lost with this incarnation, and why.
-    void report_loss(const loss_verdict& verdict, owner_output& out);
+    /// Returns what the answer said that has shown that a new incarnation has
+    /// replaced this one, if one has since the last call.
+    [[nodiscard]] std::optional<std::string> take_replaced();
+    /// Logs once what is lost with this incarnation, and why. The evidence says
+    /// how its end was noticed.
+    void report_loss(const loss_verdict& verdict, const std::string& evidence,
+                     owner_output& out);
     [[nodiscard]] const std::optional<loss_verdict>& verdict() const
     {
         return verdict_;
@@ -151,12 +153,15 @@
     bool was_closed_ = false;
     /// Why its incarnation ended, once that was judged.
     std::optional<loss_verdict> verdict_;
-    bool is_replaced_ = false;
+    std::optional<std::string> replaced_evidence_;
     instant backoff_until_{};
     std::set<job_id> failed_jobs_;
     instant last_failure_at_{};
     std::map<run_ref, run_entry> runs_;
+    /// Listed runs that the state does not hold, to be stopped.
     std::set<run_ref> unknown_runs_;
+    /// Those of the last listing.
+    std::set<run_ref> listed_unknown_;
     std::uint64_t runs_revision_ = 0;
     std::map<std::uint64_t, open_call> calls_;
     std::optional<std::uint64_t> hold_call_id_;
