pool: an owner that was fenced starts nothing on that worker any more

Cause: a replaced owner that does not know of its successor yet repeats its starts. The worker refuses them by the successor's token, but a worker that restarts has seen no token, so the next repetition is carried out, though the successor has blocked the run and started its task elsewhere.

A session that was fenced starts nothing and renews no lease any more; its starts that were not sent yet are given up.

The new test in pool.worker_restart failed before.

--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -112,7 +112,8 @@
     bool trusted = failed_jobs_.size() < max_failed_jobs ||
                    now - last_failure_at_ > timing_.quarantine_;
     return is_responsive && is_capacity_known(now) && trusted && clock_ms_ &&
-           now >= backoff_until_ && !retire_deadline_ && !is_replaced_;
+           now >= backoff_until_ && !retire_deadline_ && !is_replaced_ &&
+           !is_fenced_;
 }
 
 // A worker that guards its capacity rejects what does not fit. For others, the
@@ -420,6 +421,8 @@
 {
     if (entry.call_id_ || now < entry.next_attempt_at_ || now > lease_end_ + 1h)
         return;
+    if (is_fenced_ && entry.phase_ != run_phase::unsent)
+        return;
     if (is_replaced_) {
         if (may_exist(entry) && !entry.blocked_at_)
             entry.call_id_ = send(stop_call{run}, timing_.call_timeout_, now,
@@ -441,7 +444,7 @@
     // A draining worker starts nothing new; a retiring one stops everything.
     if (info().is_draining_ && entry.phase_ != run_phase::confirmed)
         desired = false;
-    if (retire_deadline_)
+    if (retire_deadline_ || is_fenced_)
         desired = false;
     // The worker may have shrunk since the start was committed.
     bool may_begin = entry.phase_ == run_phase::unsent ||
@@ -509,7 +512,7 @@
         call.wait_ = timing_.hold_wait_;
     // A lease that may never arrive would postpone the time at which the runs
     // have certainly ended.
-    if (has_runs && lost_calls_ == 0 && clock_ms_)
+    if (has_runs && lost_calls_ == 0 && clock_ms_ && !is_fenced_)
         call.lease_until_ms_ = grant_lease(now);
     hold_requested_ = false;
     acked_cursor_ = cursor;
@@ -582,6 +585,7 @@
     }
     lost_calls_ = 0;
     last_contact_at_ = now;
+    is_fenced_ = is_fenced_ || answer.verdict_ == call_verdict::fenced;
     if (answer.clock_ms_) {
         clock_ms_ = answer.clock_ms_;
         clock_read_at_ = now;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -181,6 +181,9 @@
     bool was_closed_ = false;
     /// Why its incarnation ended, once that was judged.
     std::optional<loss_verdict> verdict_;
+    /// A later owner has called the worker. After a restart the worker has
+    /// forgotten that, but this owner must not start anything there any more.
+    bool is_fenced_ = false;
     bool is_replaced_ = false;
     /// How that was noticed.
     std::string replaced_evidence_;
--- a/libs/pool/test/worker_restart_test.cpp
+++ b/libs/pool/test/worker_restart_test.cpp
@@ -178,3 +178,28 @@
     REQUIRE(!stops.empty());
     CHECK(std::get<stop_call>(stops[0].operation_).run_ == pool.run_);
 }
+
+// A worker that has restarted obeys a replaced owner again, which must not
+// repeat its starts there until it learns of its successor. Seen in the random
+// runs, seeds 160 and 263 (issue 31).
+TEST_CASE("an owner that was fenced starts nothing on that worker any more",
+          "[worker_restart]")
+{
+    owner_fixture pool;
+    pool.submit("a", {pool_fixture::make_step(1, 1, false)});
+    pool.advance(10ms);
+    auto starts = owner_fixture::filter<start_call>(pool.advance(10ms));
+    REQUIRE(starts.size() == 1);
+    call_answer fenced;
+    fenced.verdict_ = call_verdict::fenced;
+    pool.answer(starts[0], fenced);
+    for (int i = 0; i < 20; ++i) {
+        auto calls = pool.advance(100ms);
+        CHECK(owner_fixture::filter<start_call>(calls).empty());
+        for (const worker_call& call :
+             owner_fixture::filter<hold_call>(calls)) {
+            CHECK_FALSE(std::get<hold_call>(call.operation_).lease_until_ms_);
+            pool.answer(call, fenced);
+        }
+    }
+}
