control: a sequence number that is far too high silences its worker for five seconds, not for ever

What callers saw: a worker that gets no new work though it is well. Cause: an announcement of another writer under a worker's name, with the sequence number 2^53 - 1, made all later ones of that worker stale; they were acknowledged and changed nothing, for ever. The last number counts for 5 s without a newer announcement. A worker announces itself each 1.5 s, so those that were really delayed stay stale. The new test in control.announcement_balancer failed before: the announcement after 6 s was stale.

--- a/libs/control/src/announcement_balancer.cpp
+++ b/libs/control/src/announcement_balancer.cpp
@@ -16,6 +16,8 @@
 // the reading of a worker's clock by at most this much, which shortens the
 // worker's lease.
 constexpr duration batch_interval = 100ms;
+// Time without a new announcement after which any one counts as new.
+constexpr duration max_announcement_age = 5s;
 
 } // namespace
 
@@ -24,21 +26,23 @@
     return state_.workers().size() > max_workers_on_leader;
 }
 
+// A sequence number that is far too high must not silence its worker for ever.
 bool announcement_balancer::is_stale(const pool::worker_info& info,
-                                     std::uint64_t sequence)
+                                     std::uint64_t sequence, instant now)
 {
-    auto& [incarnation, last_sequence] = sequences_[info.name_];
-    if (info.incarnation_ < incarnation ||
-        (info.incarnation_ == incarnation && sequence <= last_sequence))
+    announcement& last = announcements_[info.name_];
+    bool is_older =
+        info.incarnation_ < last.incarnation_ ||
+        (info.incarnation_ == last.incarnation_ && sequence <= last.sequence_);
+    if (is_older && now - last.at_ <= max_announcement_age)
         return true;
-    incarnation = info.incarnation_;
-    last_sequence = sequence;
+    last = {info.incarnation_, sequence, now};
     return false;
 }
 
 void announcement_balancer::reset_sequence(const worker_name& worker)
 {
-    sequences_.erase(worker);
+    announcements_.erase(worker);
 }
 
 bool announcement_balancer::is_unchanged(const pool::worker_info& info) const
--- a/libs/control/src/announcement_balancer.hpp
+++ b/libs/control/src/announcement_balancer.hpp
@@ -26,7 +26,8 @@
     [[nodiscard]] bool is_distributed() const;
     /// Whether this or a later announcement of the worker has already arrived.
     /// If not, records the sequence.
-    bool is_stale(const pool::worker_info& info, std::uint64_t sequence);
+    bool is_stale(const pool::worker_info& info, std::uint64_t sequence,
+                  instant now);
     /// Discards the last sequence of a worker whose change was not committed.
     void reset_sequence(const worker_name& worker);
     /// Whether the state already holds exactly the announced information.
@@ -43,8 +44,16 @@
                   const std::vector<std::string>& hosts);
 
   private:
+    /// The last announcement of a worker.
+    struct announcement
+    {
+        std::int64_t incarnation_ = 0;
+        std::uint64_t sequence_ = 0;
+        instant at_{};
+    };
+
     const pool::pool_state& state_;
-    std::map<worker_name, std::pair<std::int64_t, std::uint64_t>> sequences_;
+    std::map<worker_name, announcement> announcements_;
     std::vector<relayed_announcement> batch_;
     instant batch_sent_at_{};
 };
--- a/libs/control/src/worker_service.cpp
+++ b/libs/control/src/worker_service.cpp
@@ -47,7 +47,7 @@
     control_response done{control_outcome::done, own_address_, {}};
     if (is_leader)
         done.leader_ = assigned_host(info.name_);
-    if (balancer_.is_stale(info, sequence)) {
+    if (balancer_.is_stale(info, sequence, steady_now())) {
         on_response(done);
         return;
     }
--- a/libs/control/test/announcement_balancer_test.cpp
+++ b/libs/control/test/announcement_balancer_test.cpp
@@ -83,15 +83,29 @@
     pool::pool_state state;
     announcement_balancer balancer(state);
     pool::worker_info info = make_worker(1);
-    CHECK(!balancer.is_stale(info, 4));
-    CHECK(balancer.is_stale(info, 3));
-    CHECK(!balancer.is_stale(info, 5));
+    CHECK(!balancer.is_stale(info, 4, start));
+    CHECK(balancer.is_stale(info, 3, start));
+    CHECK(!balancer.is_stale(info, 5, start));
     info.incarnation_ = 2;
-    CHECK(!balancer.is_stale(info, 1));
+    CHECK(!balancer.is_stale(info, 1, start));
     info.incarnation_ = 1;
-    CHECK(balancer.is_stale(info, 9));
+    CHECK(balancer.is_stale(info, 9, start));
     balancer.reset_sequence(info.name_);
-    CHECK(!balancer.is_stale(info, 9));
+    CHECK(!balancer.is_stale(info, 9, start));
+}
+
+// One announcement of another writer with a sequence number that is far too
+// high silenced its worker for ever (issue 31).
+TEST_CASE("a sequence number that is too high is forgotten after five seconds",
+          "[announcement_balancer]")
+{
+    pool::pool_state state;
+    announcement_balancer balancer(state);
+    pool::worker_info info = make_worker(1);
+    CHECK(!balancer.is_stale(info, 1'000'000'000, start));
+    CHECK(balancer.is_stale(info, 7, start + 4s));
+    CHECK(!balancer.is_stale(info, 8, start + 6s));
+    CHECK(balancer.is_stale(info, 8, start + 7s));
 }
 
 TEST_CASE("announcements are relayed in batches", "[announcement_balancer]")
