control, pool: an announcement that contradicts what is known is confirmed by the process at its address

What callers saw: two runs of one task at once, and a live worker that was out of the pool for good.

Cause: an announcement is a claim that any writer can make, and one was enough to end an incarnation: another name at the address of a live worker, or its own name with a later start time. Its runs counted as lost and started elsewhere while they went on, and its own announcements were acknowledged and changed nothing from then on. Class: a run is taken for ended without the word of the worker that has it.

An announcement that takes the end of another incarnation, or the return of one that has ended, is checked by one hold call to its address, without a lease: the announced incarnation must answer. Its listing also settles what it may have taken of its predecessor. A refuted announcement gets 409, a line and counts in announcements_refuted; one that nobody confirms is asked for again. What was confirmed counts for more than numbers of earlier announcements, so a worker that a false entry has displaced comes back with its next announcement.

--- a/libs/control/include/dandelioncrank/control/control_host.hpp
+++ b/libs/control/include/dandelioncrank/control/control_host.hpp
@@ -22,7 +22,9 @@
     /// Another host is the leader; leader_ holds its control address.
     redirect,
     /// No leader is known, or it could not commit in time.
-    unavailable
+    unavailable,
+    /// The call contradicts what the worker that it names has said.
+    refused
 };
 
 struct control_response
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -175,7 +175,8 @@
         plan();
     };
     workers_ = std::make_unique<worker_service>(
-        *replica_, *group_, *owner_, settings_.control_address_.to_text());
+        *replica_, *group_, *owner_, call_worker_, metrics_,
+        settings_.control_address_.to_text());
     workers_->redirect_to_leader_ = [this] { return redirect_to_leader(); };
     workers_->live_hosts_ = [this] { return live_hosts(); };
     workers_->on_owner_work_ = [this] { schedule_owner(); };
--- a/libs/control/src/worker_service.cpp
+++ b/libs/control/src/worker_service.cpp
@@ -1,5 +1,7 @@
 #include "worker_service.hpp"
 
+#include "dandelioncrank/pool/worker_confirmation.hpp"
+
 #include <utility>
 
 namespace dandelioncrank::control {
@@ -10,13 +12,20 @@
 
 // Workers repeat an announcement that is not answered within a second.
 constexpr duration registration_timeout = 900ms;
+// How long a worker may take to confirm an announcement.
+constexpr duration confirmation_timeout = 400ms;
+// Bounds the memory for announcements that wait for a confirmation.
+constexpr std::size_t max_registrations = 4096;
 
 } // namespace
 
 worker_service::worker_service(const replica<pool_state_machine>& replica,
                                group_log& group, pool::pool_owner& owner,
+                               control_host::worker_caller call_worker,
+                               metric_registry& metrics,
                                std::string own_address)
     : replica_(replica), group_(group), owner_(owner),
+      call_worker_(std::move(call_worker)), metrics_(metrics),
       own_address_(std::move(own_address)), balancer_(state())
 {
 }
@@ -47,12 +56,18 @@
     control_response done{control_outcome::done, own_address_, {}};
     if (is_leader)
         done.leader_ = assigned_host(info.name_);
+    registration item{info, clock_ms, done, on_response, steady_now()};
+    if (is_leader && contradicts_state(info)) {
+        confirm_worker(std::move(item));
+        return;
+    }
     if (balancer_.is_stale(info, sequence, steady_now())) {
         on_response(done);
         return;
     }
     if (is_leader && !is_unchanged) {
-        register_worker({info, clock_ms, done, on_response, steady_now()});
+        log_registration(info);
+        commit_worker(item);
         return;
     }
     if (is_leader)
@@ -63,33 +78,79 @@
     on_response(done);
 }
 
-void worker_service::register_worker(registration item)
+void worker_service::log_registration(const pool::worker_info& info)
 {
     log_.event("Worker registered or changed.",
-               {{"worker", item.info_.name_.str()},
-                {"life", std::to_string(item.info_.incarnation_)},
-                {"address", item.info_.address_},
-                {"draining", item.info_.is_draining_ ? "yes" : "no"}});
-    if (state().replaced_by(item.info_).empty()) {
-        commit_worker(item);
+               {{"worker", info.name_.str()},
+                {"life", std::to_string(info.incarnation_)},
+                {"address", info.address_},
+                {"draining", info.is_draining_ ? "yes" : "no"}});
+}
+
+// An announcement is a claim that any writer can make. To believe one that
+// contradicts what is known takes the word of the process at the address.
+bool worker_service::contradicts_state(const pool::worker_info& info) const
+{
+    auto known = state().workers().find(info.name_);
+    if (known == state().workers().end())
+        return state().has_ended(info) || !state().replaced_by(info).empty();
+    return known->second.info_.incarnation_ != info.incarnation_ ||
+           known->second.info_.address_ != info.address_;
+}
+
+void worker_service::confirm_worker(registration item)
+{
+    worker_name name = item.info_.name_;
+    bool can_check = owner_.is_active() && !registrations_.contains(name) &&
+                     registrations_.size() < max_registrations;
+    if (!can_check) {
+        give_up(item);
         return;
     }
-    // Only the owner can tell that the runs of an incarnation are over.
-    if (!owner_.is_active()) {
-        give_up(item);
+    pool::worker_call call;
+    call.worker_ = name;
+    call.incarnation_ = item.info_.incarnation_;
+    call.address_ = item.info_.address_;
+    call.fencing_token_ = replica_.status().term_;
+    call.operation_ = pool::hold_call{};
+    call.timeout_ = confirmation_timeout;
+    registrations_.emplace(name, std::move(item));
+    instant sent_at = steady_now();
+    call_worker_(
+        call, [this, name, sent_at, info = registrations_.at(name).info_](
+                  const pool::call_result& result) {
+            auto found = registrations_.find(name);
+            if (found != registrations_.end() && found->second.info_ == info)
+                handle_confirmation(found->second, result, sent_at);
+        });
+}
+
+void worker_service::handle_confirmation(registration& item,
+                                         const pool::call_result& result,
+                                         instant sent_at)
+{
+    const pool::worker_info& info = item.info_;
+    switch (pool::judge_confirmation(info, result)) {
+    case pool::confirmation::confirmed:
+        log_registration(info);
+        item.is_confirmed_ = true;
+        owner_.replace_incarnations(info, std::get<pool::call_answer>(result),
+                                    sent_at, steady_now());
+        on_owner_work_();
         return;
+    case pool::confirmation::refuted:
+        metrics_.count("announcements_refuted");
+        log_.event("Announcement refuted by the process at its address.",
+                   {{"worker", info.name_.str()},
+                    {"life", std::to_string(info.incarnation_)},
+                    {"address", info.address_}});
+        item.on_response_({control_outcome::refused, {}, {}});
+        break;
+    case pool::confirmation::unanswered:
+        give_up(item);
+        break;
     }
-    owner_.replace_incarnations(item.info_,
-                                "an announcement of " + item.info_.name_.str() +
-                                    " incarnation " +
-                                    std::to_string(item.info_.incarnation_),
-                                steady_now());
-    worker_name name = item.info_.name_;
-    auto [known, is_new] = registrations_.try_emplace(name);
-    if (!is_new)
-        give_up(known->second);
-    known->second = std::move(item);
-    on_owner_work_();
+    registrations_.erase(info.name_);
 }
 
 void worker_service::give_up(const registration& item)
@@ -126,7 +187,7 @@
     for (auto& [name, item] : pending) {
         if (!owns_pool || now - item.since_ > registration_timeout)
             give_up(item);
-        else if (state().replaced_by(item.info_).empty())
+        else if (item.is_confirmed_ && state().replaced_by(item.info_).empty())
             commit_worker(item);
         else
             registrations_.emplace(name, std::move(item));
--- a/libs/control/src/worker_service.hpp
+++ b/libs/control/src/worker_service.hpp
@@ -22,7 +22,9 @@
 
     /// `own_address` is the address at which workers reach this host.
     worker_service(const replica<pool_state_machine>& replica, group_log& group,
-                   pool::pool_owner& owner, std::string own_address);
+                   pool::pool_owner& owner,
+                   control_host::worker_caller call_worker,
+                   metric_registry& metrics, std::string own_address);
 
     void announce(const pool::worker_info& info, std::int64_t clock_ms,
                   std::uint64_t sequence, const response_handler& on_response);
@@ -62,9 +64,18 @@
         control_response done_;
         response_handler on_response_;
         instant since_{};
+        /// The process at the address has confirmed the announcement.
+        bool is_confirmed_ = false;
     };
 
-    void register_worker(registration item);
+    void log_registration(const pool::worker_info& info);
+    /// Whether to believe the announcement takes the end of another incarnation
+    /// or the return of one that has ended.
+    [[nodiscard]] bool contradicts_state(const pool::worker_info& info) const;
+    /// Asks the process at the announced address who it is.
+    void confirm_worker(registration item);
+    void handle_confirmation(registration& item,
+                             const pool::call_result& result, instant sent_at);
     void commit_worker(const registration& item);
     /// Tells the worker to ask again.
     void give_up(const registration& item);
@@ -79,9 +90,12 @@
     const replica<pool_state_machine>& replica_;
     group_log& group_;
     pool::pool_owner& owner_;
+    control_host::worker_caller call_worker_;
+    metric_registry& metrics_;
     std::string own_address_;
     announcement_balancer balancer_;
-    /// Workers whose predecessors have not ended yet.
+    /// Announcements that wait for their confirmation, or for the end of the
+    /// incarnations that they replace.
     std::map<worker_name, registration> registrations_;
     /// Removals that wait for the end of the incarnation of a worker.
     std::map<std::pair<worker_name, std::int64_t>,
--- a/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
@@ -55,11 +55,15 @@
 struct put_worker
 {
     worker_info info_;
+    /// The process at its address has confirmed it to the owner, which proves
+    /// more than incarnations that are known from announcements.
+    bool is_confirmed_ = false;
 
     template <class Archive>
     void fields(Archive& archive)
     {
         archive(info_);
+        archive.appended(is_confirmed_);
     }
 };
 
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -95,10 +95,12 @@
     bool retire_worker(const worker_name& worker, std::int64_t incarnation,
                        instant now);
     /// Ends the incarnations that a worker has replaced, by its name or at its
-    /// address, once none of their runs can exist any more. `evidence` tells
-    /// the log how the replacement was noticed.
+    /// address, once none of their runs can exist any more. The worker has
+    /// confirmed that with its answer to a hold call that was sent at
+    /// `sent_at`.
     void replace_incarnations(const worker_info& successor,
-                              const std::string& evidence, instant now);
+                              const call_answer& listing, instant sent_at,
+                              instant now);
     void handle_result(std::uint64_t call, const call_result& result,
                        instant now);
     /// Must be called after each state change, before the next tick().
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -182,6 +182,8 @@
     /// cannot live beside it.
     [[nodiscard]] std::vector<const worker_record*>
     replaced_by(const worker_info& info) const;
+    /// Whether this or a later incarnation of an unknown worker has ended.
+    [[nodiscard]] bool has_ended(const worker_info& info) const;
     [[nodiscard]] const job_record* find_job(const job_id& id) const;
     /// Jobs that are not final or may still have runs.
     [[nodiscard]] const std::set<job_id>& active_jobs() const
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -201,7 +201,8 @@
 }
 
 void pool_owner::replace_incarnations(const worker_info& successor,
-                                      const std::string& evidence, instant now)
+                                      const call_answer& listing,
+                                      instant sent_at, instant now)
 {
     for (const auto& [name, session] : sessions_) {
         if (!is_current(*session))
@@ -211,10 +212,12 @@
             has_name && session->incarnation() == successor.incarnation_;
         if (is_same || (!has_name && session->address() != successor.address_))
             continue;
-        // Calls name the worker, so another one at the address refuses them.
-        session->replace(has_name ? std::optional(successor.incarnation_)
-                                  : std::nullopt,
-                         evidence, now);
+        if (has_name)
+            session->handle_successor(listing, sent_at, now, output_);
+        else
+            session->replace(
+                std::nullopt,
+                "worker " + successor.name_.str() + " at its address", now);
         judge_loss(*session, now);
         due_.insert(name);
     }
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -142,15 +142,12 @@
 pool_reply pool_state::handle(const put_worker& command)
 {
     worker_info info = command.info_;
-    // A delayed announcement may arrive after the end of its sender.
-    auto ended = ended_incarnations_.find(info.name_);
-    if (ended != ended_incarnations_.end() &&
-        info.incarnation_ <= ended->second)
+    if (!command.is_confirmed_ && has_ended(info))
         return pool_reply::rejected;
     auto found = workers_.find(info.name_);
     if (found != workers_.end()) {
         const worker_info& known = found->second.info_;
-        if (info.incarnation_ < known.incarnation_)
+        if (!command.is_confirmed_ && info.incarnation_ < known.incarnation_)
             return pool_reply::rejected;
         // Draining is final for an incarnation; a delayed announcement from
         // before must not revert it.
@@ -160,7 +157,8 @@
     std::vector<end_incarnation> replaced;
     for (const worker_record* record : replaced_by(info)) {
         // Only the owner can tell that runs are over.
-        bool is_older = record->info_.incarnation_ <= info.incarnation_;
+        bool is_older = command.is_confirmed_ ||
+                        record->info_.incarnation_ <= info.incarnation_;
         if (!is_older || !runs_on(record->info_.name_).empty())
             return pool_reply::rejected;
         replaced.push_back(implied_end(*record));
@@ -168,10 +166,19 @@
     for (const end_incarnation& incarnation : replaced)
         handle(incarnation);
     workers_[info.name_].info_ = info;
+    ended_incarnations_.erase(info.name_);
     ++workers_revision_;
     return pool_reply::applied;
 }
 
+// A delayed announcement may arrive after the end of its sender.
+bool pool_state::has_ended(const worker_info& info) const
+{
+    auto ended = ended_incarnations_.find(info.name_);
+    return ended != ended_incarnations_.end() &&
+           info.incarnation_ <= ended->second;
+}
+
 // An address belongs to one process at a time, and a name to one incarnation.
 std::vector<const worker_record*>
 pool_state::replaced_by(const worker_info& info) const
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -574,7 +574,10 @@
         answer.verdict_ == call_verdict::other_incarnation ||
         (answer.incarnation_ != 0 && answer.incarnation_ != incarnation_);
     if (is_other) {
-        handle_other_answer(answer, call.sent_at_, now, out);
+        if (answer.verdict_ == call_verdict::other_incarnation)
+            replace(std::nullopt, "another process at its address", now);
+        else
+            handle_successor(answer, call.sent_at_, now, out);
         return;
     }
     if (is_replaced_) {
@@ -604,20 +607,15 @@
                call.operation_);
 }
 
-void pool_owner::worker_session::handle_other_answer(const call_answer& answer,
-                                                     instant sent_at,
-                                                     instant now,
-                                                     owner_output& out)
+void pool_owner::worker_session::handle_successor(const call_answer& listing,
+                                                  instant sent_at, instant now,
+                                                  owner_output& out)
 {
-    if (answer.verdict_ == call_verdict::other_incarnation) {
-        replace(std::nullopt, "another process at its address", now);
-        return;
-    }
-    replace(answer.incarnation_,
-            "an answer of incarnation " + std::to_string(answer.incarnation_),
+    replace(listing.incarnation_,
+            "an answer of incarnation " + std::to_string(listing.incarnation_),
             now);
-    if (successor_ == answer.incarnation_)
-        handle_successor_listing(answer, sent_at, now, out);
+    if (successor_ == listing.incarnation_)
+        handle_successor_listing(listing, sent_at, now, out);
 }
 
 void pool_owner::worker_session::handle_successor_listing(
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -59,6 +59,10 @@
     /// is for the log.
     void replace(std::optional<std::int64_t> successor,
                  const std::string& evidence, instant now);
+    /// Records that another incarnation answers under the worker's name, with
+    /// its listing.
+    void handle_successor(const call_answer& listing, instant sent_at,
+                          instant now, owner_output& out);
     [[nodiscard]] bool is_replaced() const { return is_replaced_; }
     /// Logs once what is lost with this incarnation, and why.
     void report_loss(const loss_verdict& verdict, owner_output& out);
@@ -136,9 +140,6 @@
     /// Handles the listing of the incarnation that has replaced this one.
     void handle_successor_listing(const call_answer& answer, instant sent_at,
                                   instant now, owner_output& out);
-    /// Handles an answer of another incarnation than this one.
-    void handle_other_answer(const call_answer& answer, instant sent_at,
-                             instant now, owner_output& out);
     /// Whether the run may be under way at the worker.
     [[nodiscard]] static bool may_exist(const run_entry& entry);
     /// Whether the next incarnation of the worker may have taken the run, or
--- a/libs/pool/test/fake_worker.cpp
+++ b/libs/pool/test/fake_worker.cpp
@@ -108,6 +108,15 @@
     return answer;
 }
 
+call_answer fake_worker::confirm(std::uint64_t fencing_token, instant now)
+{
+    worker_call call;
+    call.worker_ = info_.name_;
+    call.fencing_token_ = fencing_token;
+    call.operation_ = hold_call{};
+    return execute(call, {}, {}, false, now);
+}
+
 call_answer fake_worker::execute(const worker_call& call, const step_spec& spec,
                                  duration run_time, bool fails, instant now)
 {
--- a/libs/pool/test/fake_worker.hpp
+++ b/libs/pool/test/fake_worker.hpp
@@ -30,6 +30,8 @@
     /// Executes a call and returns the answer that the caller would get.
     call_answer execute(const worker_call& call, const step_spec& spec,
                         duration run_time, bool fails, instant now);
+    /// Answers the hold call by which an owner has an announcement confirmed.
+    call_answer confirm(std::uint64_t fencing_token, instant now);
     /// Advances the time: ends runs that are due or whose lease has expired.
     void advance(instant now);
     /// Drops all state and begins a new incarnation.
--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -160,10 +160,9 @@
         worker_info next =
             pool.state_.worker_at(pool_fixture::name_of(0)).info_;
         next.incarnation_ = 2;
-        pool.owner_.replace_incarnations(next, "an announcement", pool.now_);
-        call_answer empty;
-        empty.incarnation_ = 2;
-        pool.answer(pool.advance(10ms).at(0), empty);
+        call_answer listing;
+        listing.incarnation_ = 2;
+        pool.owner_.replace_incarnations(next, listing, pool.now_, pool.now_);
         pool.advance(10ms);
     }
     SECTION("its lease has expired")
--- a/libs/pool/test/random_run_test.cpp
+++ b/libs/pool/test/random_run_test.cpp
@@ -328,7 +328,7 @@
             auto known = state_.workers().find(name);
             if (known == state_.workers().end() ||
                 known->second.info_ != worker.info_)
-                commit_announcement(worker.info_);
+                commit_announcement(worker);
             for (owner_slot& slot : owners_)
                 slot.owner_->record_announcement(name,
                                                  worker.info_.incarnation_,
@@ -338,11 +338,12 @@
 
     /// The owner ends what the worker has replaced before it is registered,
     /// unless no owner has taken over so far.
-    void commit_announcement(const worker_info& info)
+    void commit_announcement(fake_worker& worker)
     {
-        if (chance(0.8))
-            find_owner(term_)->replace_incarnations(info, "an announcement",
-                                                    now_);
+        const worker_info& info = worker.info_;
+        if (chance(0.8) && !state_.replaced_by(info).empty())
+            find_owner(term_)->replace_incarnations(
+                info, worker.confirm(term_, now_), now_, now_);
         apply(put_worker{info});
     }
 
