pool, platform: a list of runs that was not read in full says so

What callers would see: a run is not in the lists because its row, a list or the whole body could not be read, and is taken for unknown to its worker or for stopped; its task starts again while it goes on. Cause: rows that could not be read were left out, a missing list counted as an empty one, and a page of 500 ends as all of them. Fix: call_answer::is_complete_, which the owner is to heed before it concludes anything from a run that is not listed. Answers to starts and stops have no lists, so none are read.

--- a/libs/pool/include/dandelioncrank/pool/worker_calls.hpp
+++ b/libs/pool/include/dandelioncrank/pool/worker_calls.hpp
@@ -90,6 +90,8 @@
     /// Hold calls only.
     std::vector<reported_run> running_;
     std::vector<reported_outcome> ended_;
+    /// Whether the lists hold all runs and outcomes of the worker.
+    bool is_complete_ = true;
 };
 
 /// No answer was received.
