pool, control: a worker that leaves keeps its runs until it has ended them or their lease is over

What callers saw, if its path to us works and ours to it does not: two runs of one task at once for some seconds.

Cause: a worker that leaves counted as gone after a second without an answer, and at once after a call that was not sent, whatever the reason: a connection that was not accepted in time, or no free descriptor here. It goes on for some seconds. Besides, any writer could deregister a live worker. Class: a run is taken for ended without the word of the worker that has it.

After a second the worker is told that it may exit, as before, but runs that it has not reported end with their lease, which is renewed no more from its deregistration on. A leader that does not own the pool yet passes deregistrations on.

The test 'a retiring worker that does not answer is soon removed' demanded the fault; in its place stands one that holds both bounds: told after a second, its run kept for as long as its lease may last and gone by 7 s. '... accepts no calls is removed at once' now says that the connection was refused.

--- a/libs/control/src/worker_service.cpp
+++ b/libs/control/src/worker_service.cpp
@@ -208,30 +208,37 @@
 void worker_service::remove(const worker_name& worker, std::int64_t incarnation,
                             const response_handler& on_response)
 {
-    if (!replica_.is_leader()) {
+    if (!replica_.is_leader() || !owner_.is_active()) {
         on_response(redirect_to_leader_());
         return;
     }
     auto found = state().workers().find(worker);
-    if (incarnation == 0 && found != state().workers().end())
+    bool is_known = found != state().workers().end();
+    if (is_known && incarnation == 0)
         incarnation = found->second.info_.incarnation_;
+    if (!is_known || found->second.info_.incarnation_ != incarnation) {
+        on_response({control_outcome::done, {}, {}});
+        return;
+    }
+    // Workers drain before they leave; one that does not has not said this.
+    bool is_draining = found->second.info_.is_draining_;
     log_.event(
-        "Worker is being removed.",
+        is_draining ? "Worker is being removed."
+                    : "Removal of a worker that does not drain refused.",
         {{"worker", worker.str()}, {"life", std::to_string(incarnation)}});
+    if (!is_draining) {
+        metrics_.count("removals_refused");
+        on_response({control_outcome::refused, {}, {}});
+        return;
+    }
     // The worker exits on the response, and ends of runs that have not been
     // read by then are lost with it.
-    if (owner_.retire_worker(worker, incarnation, steady_now())) {
-        pending_removals_[{worker, incarnation}].push_back(on_response);
-        on_owner_work_();
+    if (!owner_.retire_worker(worker, incarnation, steady_now())) {
+        on_response(redirect_to_leader_());
         return;
     }
-    group_.enqueue(pool::end_incarnation{worker, incarnation, {}},
-                   [this, on_response](commit_result end, pool::pool_reply) {
-                       control_response done{control_outcome::done, {}, {}};
-                       on_response(end == commit_result::committed
-                                       ? done
-                                       : redirect_to_leader_());
-                   });
+    pending_removals_[{worker, incarnation}].push_back(on_response);
+    on_owner_work_();
 }
 
 void worker_service::complete_removals(bool owns_pool)
@@ -243,13 +250,16 @@
         auto found = state().workers().find(worker);
         bool has_ended = found == state().workers().end() ||
                          found->second.info_.incarnation_ != incarnation;
-        if (!has_ended && owns_pool) {
+        bool may_leave =
+            has_ended ||
+            (owns_pool && owner_.may_leave(worker, incarnation, steady_now()));
+        if (!may_leave && owns_pool) {
             pending_removals_.emplace(key, std::move(handlers));
             continue;
         }
         control_response done{control_outcome::done, {}, {}};
         for (const response_handler& handler : handlers)
-            handler(has_ended ? done : redirect_to_leader_());
+            handler(may_leave ? done : redirect_to_leader_());
     }
 }
 
--- a/libs/control/src/worker_service.hpp
+++ b/libs/control/src/worker_service.hpp
@@ -14,7 +14,7 @@
 namespace dandelioncrank::control {
 
 /// Handles worker announcements, as the leader or on its behalf, and removals,
-/// which are answered once the worker's incarnation has ended.
+/// which are answered once the worker may exit.
 class worker_service
 {
   public:
@@ -31,8 +31,8 @@
     void remove(const worker_name& worker, std::int64_t incarnation,
                 const response_handler& on_response);
     /// Answers pending removals: with done once the worker's incarnation has
-    /// ended in the state, with redirect or unavailable if this host no longer
-    /// owns the pool.
+    /// ended in the state or the worker has had its time to report outcomes,
+    /// with redirect or unavailable if this host no longer owns the pool.
     void complete_removals(bool owns_pool);
     /// Registers the announced workers whose predecessors have ended in the
     /// state; those that have waited for too long are told to ask again.
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -89,11 +89,15 @@
     void record_announcement(const worker_name& worker,
                              std::int64_t incarnation, std::int64_t clock_ms,
                              instant now);
-    /// Prepares for the shutdown of a worker: ends its incarnation once the
-    /// outcomes of its runs are recorded, or after a second. Returns false if
-    /// the owner does not manage that incarnation.
+    /// Prepares for the shutdown of a worker: ends its incarnation once its
+    /// runs are over, and the outcomes that it reports are recorded. Returns
+    /// false if the owner does not manage that incarnation.
     bool retire_worker(const worker_name& worker, std::int64_t incarnation,
                        instant now);
+    /// Whether a retiring worker has had its time to report outcomes. Its runs
+    /// may still exist.
+    [[nodiscard]] bool may_leave(const worker_name& worker,
+                                 std::int64_t incarnation, instant now) const;
     /// Ends the incarnations that a worker has replaced, by its name or at its
     /// address, once none of their runs can exist any more. The worker has
     /// confirmed that with its answer to a hold call that was sent at
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -200,6 +200,15 @@
     return is_known;
 }
 
+bool pool_owner::may_leave(const worker_name& worker, std::int64_t incarnation,
+                           instant now) const
+{
+    auto found = sessions_.find(worker);
+    return found != sessions_.end() &&
+           found->second->incarnation() == incarnation &&
+           found->second->may_leave(now);
+}
+
 void pool_owner::replace_incarnations(const worker_info& successor,
                                       const call_answer& listing,
                                       instant sent_at, instant now)
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -387,9 +387,9 @@
 {
     if (!retire_deadline_ || now < next_incarnation_end_)
         return;
-    // Outcomes reported before are recorded first.
-    bool is_over = runs_.empty() || is_unreachable_ || now >= *retire_deadline_;
-    if (!is_over)
+    // Outcomes reported before are recorded first. A worker that is merely
+    // silent may go on, so its runs end with their lease.
+    if (!runs_.empty() && !is_unreachable_)
         return;
     next_incarnation_end_ = now + proposal_retry_time;
     out.observations_.push_back(incarnation_end(incarnation_end_cause::left));
@@ -512,7 +512,8 @@
         call.wait_ = timing_.hold_wait_;
     // A lease that may never arrive would postpone the time at which the runs
     // have certainly ended.
-    if (has_runs && lost_calls_ == 0 && clock_ms_ && !is_fenced_)
+    bool may_renew = !is_fenced_ && !retire_deadline_;
+    if (has_runs && lost_calls_ == 0 && clock_ms_ && may_renew)
         call.lease_until_ms_ = grant_lease(now);
     hold_requested_ = false;
     acked_cursor_ = cursor;
@@ -665,8 +666,9 @@
                      (was_closed_ ? "connection closed" : "silence"),
                  "worker_contacts_lost"});
     }
-    // A retiring worker that refuses connections sends no further outcomes.
-    is_unreachable_ = is_unreachable_ || (retire_deadline_ && not_sent);
+    // A retiring worker that refuses connections has ended its runs.
+    bool is_refused = not_sent && lost.was_closed_;
+    is_unreachable_ = is_unreachable_ || (retire_deadline_ && is_refused);
     auto pause = timing_.retry_delay_ * std::min(lost_calls_, 4);
     if (std::holds_alternative<hold_call>(call.operation_)) {
         acked_cursor_ = 0;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -40,6 +40,11 @@
     /// Prepares for the shutdown of the worker: stops its runs and records
     /// their outcomes before the incarnation ends.
     void retire(instant now);
+    /// Whether a retiring worker has had its time to report outcomes.
+    [[nodiscard]] bool may_leave(instant now) const
+    {
+        return retire_deadline_ && now >= *retire_deadline_;
+    }
 
     [[nodiscard]] bool is_usable(instant now) const;
     [[nodiscard]] int failure_count() const;
@@ -208,7 +213,7 @@
     bool has_unread_outcomes_ = false;
     instant next_hold_at_{};
     std::uint64_t acked_cursor_ = 0;
-    /// Set while the worker retires: when its incarnation ends at the latest.
+    /// Set while the worker retires: until when it is to report outcomes.
     std::optional<instant> retire_deadline_;
     /// The worker no longer accepts calls.
     bool is_unreachable_ = false;
--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -112,13 +112,31 @@
     CHECK(pool.state_.find_job(id)->phase_ == job_phase::completed);
 }
 
-TEST_CASE("a retiring worker that does not answer is soon removed",
+// A worker that leaves and is merely out of reach goes on for some seconds, so
+// its tasks must not start elsewhere before its lease is over (issue 31).
+TEST_CASE("a retiring worker that does not answer keeps its runs until its "
+          "lease is over",
           "[pool_owner]")
 {
     owner_fixture pool;
-    (void)pool.start_run_on_worker(pool_fixture::make_step(1, 1, false));
+    worker_call hold =
+        pool.start_run_on_worker(pool_fixture::make_step(1, 1, false));
+    instant began = pool.now_;
     REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
-    for (int i = 0; i < 11; ++i) {
+    CHECK_FALSE(pool.owner_.may_leave(pool_fixture::name_of(0), 1, pool.now_));
+    pool.drop(hold);
+    while (pool.now_ < began + 5500ms) {
+        for (const worker_call& call : pool.advance(100ms)) {
+            const auto* renewal = std::get_if<hold_call>(&call.operation_);
+            CHECK((renewal == nullptr || !renewal->lease_until_ms_));
+            pool.drop(call);
+        }
+        REQUIRE(!pool.state_.runs_on(pool_fixture::name_of(0)).empty());
+        // It may exit nevertheless, and is told so after a second.
+        CHECK(pool.owner_.may_leave(pool_fixture::name_of(0), 1, pool.now_) ==
+              (pool.now_ >= began + 1s));
+    }
+    while (pool.now_ < began + 7s) {
         for (const worker_call& call : pool.advance(100ms))
             pool.drop(call);
     }
@@ -136,11 +154,26 @@
     REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
     auto stop = owner_fixture::filter<stop_call>(pool.advance(10ms));
     REQUIRE(stop.size() == 1);
-    pool.owner_.handle_result(stop[0].id_, call_lost{true}, pool.now_);
+    pool.owner_.handle_result(stop[0].id_, call_lost{true, true}, pool.now_);
     pool.advance(1ms);
     CHECK(pool.state_.workers().empty());
 }
 
+// A call that could not be sent, for want of a descriptor here or because the
+// connection was not accepted in time, says nothing of the worker (issue 31).
+TEST_CASE("a retiring worker is not removed by a call that was not sent",
+          "[pool_owner]")
+{
+    owner_fixture pool;
+    (void)pool.start_run_on_worker(pool_fixture::make_step(1, 1, false));
+    REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
+    auto stop = owner_fixture::filter<stop_call>(pool.advance(10ms));
+    REQUIRE(stop.size() == 1);
+    pool.owner_.handle_result(stop[0].id_, call_lost{true, false}, pool.now_);
+    pool.advance(1ms);
+    CHECK(!pool.state_.runs_on(pool_fixture::name_of(0)).empty());
+}
+
 // Checkpoints are reported with each hold call; they must not be dropped when
 // the worker is lost or its zone is cut off.
 TEST_CASE("a seen checkpoint outlives its worker", "[pool_owner]")
