pool, control: leases that a replaced owner renews are waited for, and a host that wakes steps down first

What callers saw, if the owner is cut off together with some workers: two runs of one task at once for about half a second.

Cause: a leader without a quorum goes on for up to two election timeouts and renews leases meanwhile; its successor counted from its own start only the longest lease. So a run that only the replaced owner reaches outlasted what its successor waited for. A host that wakes from a suspension could besides order what was due before its replica saw that its quorum is old: its timers come in any order.

A new owner waits for the longest lease and two election timeouts before it gives a run up that it has inherited; the time is one of the owner's timings. The owner acts only after its replica has looked at its quorum.

Evidence: the new test in pool.pool_owner, a replaced owner that renews for 1.2 s, failed before: the worker still had the run when the successor gave it up.

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -452,8 +452,11 @@
     });
 }
 
+// A host that wakes from a suspension steps down before it orders anything: its
+// quorum may have another leader by now.
 void control_host::implementation::run_owner()
 {
+    replica_->tick(steady_now());
     if (owned_term_ == 0 || !is_leader())
         return;
     activity_meter::scope scope(meter_, sessions);
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -22,6 +22,9 @@
     duration lease_ = std::chrono::milliseconds(5500);
     /// Longest lease that a worker accepts from any owner.
     duration longest_lease_ = std::chrono::milliseconds(6000);
+    /// How long a replaced owner may go on renewing leases: a leader without a
+    /// quorum steps down within two election timeouts.
+    duration replaced_owner_time_ = std::chrono::milliseconds(1200);
     /// How long a hold call may wait at the worker.
     duration hold_wait_ = std::chrono::milliseconds(2000);
     /// How long to wait for the answer to a start or stop call.
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -53,6 +53,8 @@
 {
     unknown_runs_ = late_starts_.runs_for(worker_, now);
     lease_end_ = now + longest_lease_time();
+    if (is_inherited)
+        lease_end_ += timing_.replaced_owner_time_;
     for (const run_ref& run : state_.runs_on(worker_)) {
         run_entry entry;
         entry.phase_ = is_inherited ? run_phase::inherited : run_phase::unsent;
--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -1,3 +1,4 @@
+#include "fake_worker.hpp"
 #include "owner_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -119,6 +120,12 @@
           "[pool_owner]")
 {
     owner_fixture pool;
+    // Leases that an earlier owner may have granted are over.
+    pool.advance(11s);
+    pool.owner_.record_announcement(pool_fixture::name_of(0), 1, pool.clock(),
+                                    pool.now_);
+    // Long enough for the next plan.
+    pool.now_ += 100ms;
     worker_call hold =
         pool.start_run_on_worker(pool_fixture::make_step(1, 1, false));
     instant began = pool.now_;
@@ -345,3 +352,71 @@
     pool.advance(10ms);
     CHECK(pool.state_.find_job(job_id("a"))->phase_ == job_phase::completed);
 }
+
+namespace {
+
+/// Commits what an owner proposes and returns its calls.
+std::vector<worker_call> step(pool_owner& owner, pool_state& state, instant now,
+                              bool commits)
+{
+    owner.state_changed();
+    owner.tick(now, 0);
+    owner_output output = owner.take_output();
+    if (commits) {
+        for (const pool_command& item : output.observations_)
+            state.apply(item);
+        for (const pool_command& item : output.starts_)
+            state.apply(item);
+    }
+    if (!output.starts_.empty())
+        owner.starts_resolved();
+    return output.calls_;
+}
+
+} // namespace
+
+// A replaced owner that is cut off renews leases until it notices that, so what
+// only it can reach may outlast the leases that its successor knows of: the
+// task then runs twice at the same time (issue 31).
+TEST_CASE("a run is given up only when the leases of a replaced owner are over",
+          "[pool_owner]")
+{
+    // Two election timeouts.
+    constexpr duration notice_time = 1200ms;
+    pool_fixture pool(1);
+    instant now(1h);
+    fake_worker worker(pool.state_.worker_at(pool_fixture::name_of(0)).info_,
+                       now);
+    pool_owner first(pool.state_, owner_timing{});
+    first.begin(1, now);
+    first.record_announcement(pool_fixture::name_of(0), 1, worker.clock_ms(now),
+                              now);
+    job_id job = pool.submit("a", {pool_fixture::make_step(1, 1, false)});
+    auto drive_first = [&](bool commits) {
+        for (const worker_call& call : step(first, pool.state_, now, commits))
+            first.handle_result(
+                call.id_,
+                worker.execute(call, pool.state_.spec_of({job, 0, 0, 0}), 60s,
+                               false, now),
+                now);
+    };
+    for (int i = 0; i < 20; ++i, now += 10ms)
+        drive_first(true);
+    REQUIRE(worker.running_.size() == 1);
+
+    pool_state successor_state;
+    successor_state.restore(pool.state_.snapshot());
+    pool_owner second(successor_state, owner_timing{});
+    second.begin(2, now);
+    instant replaced_at = now;
+    while (!successor_state.runs_on(pool_fixture::name_of(0)).empty()) {
+        now += 10ms;
+        REQUIRE(now < replaced_at + 10s);
+        if (now < replaced_at + notice_time)
+            drive_first(false);
+        for (const worker_call& call : step(second, successor_state, now, true))
+            second.handle_result(call.id_, call_lost{false}, now);
+    }
+    worker.advance(now);
+    CHECK(worker.running_.empty());
+}
