http: a stopping server answers every connection that it completed

Callers of a host that was stopped as planned could see a connection reset after they had sent a request, so they could not tell whether it had run.

Cause: closing a listener resets the connections that the kernel has completed and the event loop has not accepted yet, and those whose handshake is under way. Beside load, connections wait there for longer.

Fix: the listener drops segments that open a connection, goes on accepting for 200 ms while handshakes that have begun complete, and closes then. What it accepts meanwhile is served once and closed. Who connects in these 200 ms is refused when the kernel repeats the attempt, having sent nothing.

--- a/libs/http/include/dandelioncrank/http/http_server.hpp
+++ b/libs/http/include/dandelioncrank/http/http_server.hpp
@@ -4,6 +4,8 @@
 #include "dandelioncrank/http/server_connection.hpp"
 #include "dandelioncrank/http/tcp_listener.hpp"
 
+#include <QTimer>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,7 +49,8 @@
     }
     [[nodiscard]] std::size_t requests_in_flight() const;
 
-    /// Stops listening and closes each open connection after its next response.
+    /// Stops listening and closes each connection after its next response.
+    /// Connections that clients have begun to open are still served.
     void stop_accepting();
 
     /// Counts this server's connections, including open ones, against the
@@ -69,6 +72,8 @@
     std::map<server_connection*, std::unique_ptr<server_connection>>
         connections_;
     bool stopping_ = false;
+    /// Ends listening, a while after stop_accepting().
+    QTimer close_timer_;
 };
 
 } // namespace dandelioncrank
--- a/libs/http/include/dandelioncrank/http/tcp_listener.hpp
+++ b/libs/http/include/dandelioncrank/http/tcp_listener.hpp
@@ -25,9 +25,16 @@
 
     [[nodiscard]] int port() const;
 
-  private:
+    /// Lets the kernel complete no connections other than those whose handshake
+    /// has begun. Attempts are ignored, and refused once the listener is gone.
+    void ignore_new_connections();
+    /// Accepts every connection that is complete.
     void accept_all();
 
+  private:
+    void handle_readable();
+    bool accept_next();
+
     int descriptor_ = -1;
     accept_handler on_accept_;
     std::unique_ptr<QSocketNotifier> notifier_;
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -6,6 +6,13 @@
 
 namespace dandelioncrank {
 
+namespace {
+
+// Time for handshakes that have begun to complete.
+constexpr duration handshake_time = std::chrono::milliseconds(200);
+
+} // namespace
+
 void responder::operator()(http_response response)
 {
     if (!send_)
@@ -44,7 +51,7 @@
 {
     bool is_full = connections_.size() >= limits_.connections_ ||
                    (budget_ != nullptr && budget_->is_exhausted());
-    if (stopping_ || is_full) {
+    if (is_full) {
         ::close(descriptor);
         return;
     }
@@ -56,6 +63,8 @@
     server_connection* key = connection.get();
     connection->on_finished_ = [this, key] { remove(key); };
     connection->on_error_response_ = on_error_response_;
+    if (stopping_)
+        connection->close_after_response();
     connections_.emplace(key, std::move(connection));
     if (budget_ != nullptr)
         budget_->opened();
@@ -104,17 +113,23 @@
     return count;
 }
 
+// Closing a listener resets the connections that it has not accepted, whose
+// clients may have sent a request already.
 void http_server::stop_accepting()
 {
+    if (stopping_)
+        return;
     stopping_ = true;
-    listener_.reset();
-    std::vector<QPointer<server_connection>> open;
+    listener_->ignore_new_connections();
+    close_timer_.setSingleShot(true);
+    QObject::connect(&close_timer_, &QTimer::timeout, [this] {
+        listener_->accept_all();
+        listener_.reset();
+    });
+    close_timer_.start(
+        std::chrono::ceil<std::chrono::milliseconds>(handshake_time));
     for (const auto& item : connections_)
-        open.emplace_back(item.first);
-    for (const auto& connection : open) {
-        if (connection)
-            connection->close_after_response();
-    }
+        item.first->close_after_response();
 }
 
 } // namespace dandelioncrank
--- a/libs/http/src/tcp_listener.cpp
+++ b/libs/http/src/tcp_listener.cpp
@@ -1,10 +1,15 @@
 #include "dandelioncrank/http/tcp_listener.hpp"
 
+#include <array>
 #include <cerrno>
+#include <cstdint>
+#include <limits>
 #include <system_error>
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,6 +19,9 @@
 
 constexpr int listen_backlog = 1024;
 constexpr int max_accepts_per_wakeup = 64;
+constexpr std::uint32_t tcp_flags_offset_bytes = 13;
+constexpr std::uint32_t whole_segment =
+    std::numeric_limits<std::uint32_t>::max();
 
 [[noreturn]] void throw_last_error(const std::string& what)
 {
@@ -54,7 +62,7 @@
     notifier_ =
         std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Read);
     QObject::connect(notifier_.get(), &QSocketNotifier::activated,
-                     [this] { accept_all(); });
+                     [this] { handle_readable(); });
 }
 
 tcp_listener::~tcp_listener()
@@ -72,15 +80,40 @@
     return ntohs(address.sin_port);
 }
 
+void tcp_listener::ignore_new_connections()
+{
+    std::array code{
+        sock_filter BPF_STMT(BPF_LD | BPF_B | BPF_ABS, tcp_flags_offset_bytes),
+        sock_filter BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
+        sock_filter BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
+        sock_filter BPF_STMT(BPF_RET | BPF_K, 0),
+        sock_filter BPF_STMT(BPF_RET | BPF_K, whole_segment)};
+    sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                 sizeof program);
+}
+
 void tcp_listener::accept_all()
 {
-    for (int i = 0; i < max_accepts_per_wakeup; ++i) {
-        int accepted = ::accept4(descriptor_, nullptr, nullptr,
-                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (accepted < 0)
-            return;
-        on_accept_(accepted);
+    while (accept_next()) {
     }
 }
 
+void tcp_listener::handle_readable()
+{
+    int accepted = 0;
+    while (accepted < max_accepts_per_wakeup && accept_next())
+        ++accepted;
+}
+
+bool tcp_listener::accept_next()
+{
+    int accepted =
+        ::accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0)
+        return false;
+    on_accept_(accepted);
+    return true;
+}
+
 } // namespace dandelioncrank
--- a/libs/http/test/server_test.cpp
+++ b/libs/http/test/server_test.cpp
@@ -6,6 +6,16 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <deque>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
 using namespace dandelioncrank;
 using namespace std::chrono_literals;
 
@@ -34,9 +44,22 @@
     REQUIRE(condition());
 }
 
+/// Descriptor of a connected socket.
+struct connected_socket
+{
+    int descriptor_;
+};
+
 /// TCP client that writes raw bytes and collects everything received.
 struct raw_client
 {
+    explicit raw_client(connected_socket connected)
+    {
+        socket_.on_input_end_ = [this] { ended_ = true; };
+        socket_.on_error_ = [this](const std::string&) { ended_ = true; };
+        socket_.adopt(connected.descriptor_);
+    }
+
     explicit raw_client(int port)
     {
         application();
@@ -78,6 +101,28 @@
     tcp_listener listener_;
 };
 
+/// Connects, sends the bytes and returns the descriptor; -1 if that fails.
+/// Needs no event loop: the kernel completes the connection on its own.
+int connect_and_send(int port, const std::string& bytes)
+{
+    int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    // Bounds the attempt; the kernel retries a SYN that is ignored after 1 s.
+    timeval attempt_time{0, 250'000};
+    ::setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &attempt_time,
+                 sizeof attempt_time);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::connect(descriptor, reinterpret_cast<sockaddr*>(&address),
+                  sizeof address) != 0 ||
+        ::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
+        ::close(descriptor);
+        return -1;
+    }
+    return descriptor;
+}
+
 http_server::handler echo()
 {
     return [](http_request request, const std::shared_ptr<responder>& reply) {
@@ -212,6 +257,67 @@
     run_until([&] { return server.connections() == 0; });
 }
 
+// Regression: a planned stop reset connections that the kernel had completed
+// and the event loop had not accepted yet; their requests got no response.
+TEST_CASE("a stopping server answers a connection that waits to be accepted",
+          "[server]")
+{
+    application();
+    http_server server(any_port, {}, echo());
+    raw_client client(
+        connected_socket{connect_and_send(server.port(), get("/x"))});
+    server.stop_accepting();
+    run_until([&] { return client.ended_; });
+    CHECK(client.socket_.input().find(" 200 ") != std::string::npos);
+    CHECK(client.socket_.input().find("Connection: close") !=
+          std::string::npos);
+}
+
+// Regression: as above, for connections that are made during the stop itself.
+TEST_CASE("a stopping server answers every connection that it completed",
+          "[server]")
+{
+    application();
+    constexpr int caller_count = 4;
+    constexpr std::size_t max_connections = 8;
+    for (int round = 0; round < 20; ++round) {
+        http_server server(any_port, {}, echo());
+        int port = server.port();
+        std::atomic<int> connected = 0;
+        std::atomic<int> cut = 0;
+        std::atomic<int> done = 0;
+        std::vector<std::thread> callers;
+        for (int i = 0; i < caller_count; ++i)
+            callers.emplace_back([&] {
+                std::deque<int> open;
+                auto finish_first = [&] {
+                    char byte = 0;
+                    cut += ::recv(open.front(), &byte, 1, 0) != 1;
+                    ::close(open.front());
+                    open.pop_front();
+                };
+                for (;;) {
+                    int descriptor = connect_and_send(port, get("/x"));
+                    if (descriptor < 0)
+                        break;
+                    ++connected;
+                    open.push_back(descriptor);
+                    if (open.size() == max_connections)
+                        finish_first();
+                }
+                while (!open.empty())
+                    finish_first();
+                ++done;
+            });
+        run_until([&] { return connected > 100; });
+        server.stop_accepting();
+        run_until([&] { return done == caller_count; });
+        for (std::thread& caller : callers)
+            caller.join();
+        CHECK(cut == 0);
+    }
+}
+
 TEST_CASE("a client that disconnects leaves the server up", "[server]")
 {
     application();
