peer: no message joins a connection that is closing

Callers of requests that are not repeatable got no response at all (a timeout after 15 s) when the leader was killed meanwhile; a planned stop of the host that held such a request waited for its whole stop time and ended with "Stopping with 1 requests in flight". scripts/system_check.sh saw both ("a request got no response", "h2 interrupted requests in flight").

Cause: after close_connection() the old session stays until the event loop turns. A message that was sent in between was written to the closed socket and waited under its stream number. The next session numbers its streams from the start, so a later message with the same number took its place, and its handler, the claim of an idempotency key, was never called.

Fix: until the old session is gone a message fails at once, like those within the reconnect interval; the state client repeats it.

--- a/libs/peer/src/peer_link.cpp
+++ b/libs/peer/src/peer_link.cpp
@@ -29,8 +29,10 @@
 
 bool peer_link::ensure_connection()
 {
+    // A message must not join a session that is about to be destroyed: the next
+    // session numbers its streams from the start again.
     if (session_)
-        return true;
+        return !closing_;
     if (steady_now() < reconnect_at_)
         return false;
     reconnect_at_ = steady_now() + reconnect_interval;
--- a/libs/peer/test/peer_test.cpp
+++ b/libs/peer/test/peer_test.cpp
@@ -132,6 +132,40 @@
     run_until([&] { return failed; });
 }
 
+// Regression: beside a killed leader, a claim that was sent in the same turn of
+// the event loop as its connection closed got no result, and its caller no
+// response: a message of the next connection took its place.
+TEST_CASE("a message sent while the connection closes gets a result", "[peer]")
+{
+    ensure_application();
+    peer_server server(any_port, [](QByteArray body, auto reply) {
+        if (body != "silent")
+            reply(body);
+    });
+    peer_link link({"127.0.0.1", server.port()});
+    int results = 0;
+    bool sent = false;
+    // The connection closes before the handler of the expired message runs.
+    link.send("silent", 50ms, [&](auto) {
+        link.send("x", 30s, [&](auto) { ++results; });
+        sent = true;
+    });
+    run_until([&] { return sent; });
+    int answered = 0;
+    bool waiting = false;
+    run_until([&] {
+        if (!waiting && answered < 3) {
+            waiting = true;
+            link.send("y", 30s, [&](auto response) {
+                answered += response.has_value();
+                waiting = false;
+            });
+        }
+        return answered == 3;
+    });
+    CHECK(results == 1);
+}
+
 TEST_CASE("input that is not HTTP/2 closes only its own connection", "[peer]")
 {
     ensure_application();
