replica: a proposal that a later one replaces has a result

A proposal of a leader that lost its office and won it again within 3 s could get no result at all, so whoever waited for it (a claim, a submit, a call) got no response.

Cause: pending proposals are kept by their index in the log. When another leader has replaced the entry and this replica leads again, a new proposal may have the same index, and the handler of the first was overwritten.

Fix: the first proposal's result is then unknown, since a member may still have its entry; callers repeat it with the same id.

Evidence: "a proposal replaced by a later one of the same replica has a result" failed before in 1 of 1 run (no result for the second proposal) and passes in 3 of 3 now.

--- a/libs/replica/include/dandelioncrank/replica/replica.hpp
+++ b/libs/replica/include/dandelioncrank/replica/replica.hpp
@@ -104,9 +104,14 @@
             on_answer(commit_result::rejected, std::nullopt);
             return;
         }
-        pending_proposals_[*index] = {
-            core_->status().term_, now + commit_timeout, std::move(on_answer)};
+        pending_proposal item{core_->status().term_, now + commit_timeout,
+                              std::move(on_answer)};
+        std::swap(item, pending_proposals_[*index]);
         process_output(now);
+        // An earlier proposal of this replica was at the same index until
+        // another leader replaced it; a member may still have it.
+        if (item.on_answer_)
+            item.on_answer_(commit_result::unknown, std::nullopt);
     }
 
     /// Linearizable read: calls the handler once the state reflects every
--- /dev/null
+++ b/libs/replica/test/replica_test.cpp
@@ -0,0 +1,108 @@
+#include "dandelioncrank/replica/replica.hpp"
+
+#include <QTemporaryDir>
+
+#include <catch2/catch.hpp>
+
+using namespace dandelioncrank;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct echo_machine
+{
+    using reply = QByteArray;
+
+    reply apply(const QByteArray& command) { return command; }
+    [[nodiscard]] QByteArray snapshot() const { return {}; }
+    void restore(const QByteArray&) {}
+};
+
+/// Replica "a" of three voters; the test plays the other two.
+class replica_under_test
+{
+  public:
+    void elect()
+    {
+        sent_.clear();
+        while (!replica_.is_leader()) {
+            now_ += 10ms;
+            replica_.tick(now_);
+            for (const consensus_message& message : std::exchange(sent_, {}))
+                grant_vote(message);
+        }
+    }
+
+    void propose(const QByteArray& command)
+    {
+        replica_.propose(command, now_,
+                         [this, command](commit_result result, const auto&) {
+                             results_[command].push_back(result);
+                         });
+    }
+
+    void receive(const std::string& from, term_number term,
+                 consensus_payload payload)
+    {
+        replica_.receive({voter_name(from), self_, term, std::move(payload)},
+                         now_);
+    }
+
+    void wait(duration time)
+    {
+        now_ += time;
+        replica_.tick(now_);
+    }
+
+    [[nodiscard]] replica_status status() const { return replica_.status(); }
+
+    std::map<QByteArray, std::vector<commit_result>> results_;
+
+  private:
+    void grant_vote(const consensus_message& message)
+    {
+        const auto* vote = std::get_if<vote_request>(&message.payload_);
+        if (vote != nullptr)
+            receive(message.to_.str(), message.term_,
+                    vote_reply{true, vote->pre_vote_, message.term_});
+    }
+
+    voter_name self_{"a"};
+    QTemporaryDir folder_;
+    instant now_ = instant(1h);
+    std::vector<consensus_message> sent_;
+    replica<echo_machine> replica_{
+        folder_.path().toStdString(),
+        {self_, {{self_, voter_name("b"), voter_name("c")}, {}, {}, {}}},
+        1,
+        now_,
+        [this](const consensus_message& message) { sent_.push_back(message); }};
+};
+
+} // namespace
+
+// Regression: a proposal whose place in the log was taken by a later one of the
+// same replica got no result, and its caller waited forever.
+TEST_CASE("a proposal replaced by a later one of the same replica has a result",
+          "[replica]")
+{
+    replica_under_test tested;
+    tested.elect();
+    tested.propose("first");
+    tested.propose("second");
+    REQUIRE(tested.status().last_index_ == 3);
+    // Another leader, which has none of these entries, replaces them.
+    term_number term = tested.status().term_ + 1;
+    tested.receive("b", term,
+                   append_request{0, 0, {{1, term, entry_kind::no_op, {}}}});
+    REQUIRE(tested.status().last_index_ == 1);
+    tested.elect();
+    tested.propose("third");
+    REQUIRE(tested.status().last_index_ == 3);
+    tested.receive("b", tested.status().term_, append_reply{true, 3, 0});
+    // Longer than any proposal waits.
+    tested.wait(10s);
+    CHECK(tested.results_["first"] == std::vector{commit_result::rejected});
+    CHECK(tested.results_["second"] == std::vector{commit_result::unknown});
+    CHECK(tested.results_["third"] == std::vector{commit_result::committed});
+}
