node: the history of the configuration is read at the leader

Cause, traced from the hosts' logs and the answers of all five hosts: host 1 only lagged. A change comes into force through gossip when the first host has applied it; a follower applies it when the leader's next message says that it is committed. The answer came from the follower's own state.

Fix: the leader answers, after a read that a quorum confirms. Without a quorum the answer is 503 "no quorum"; `config show` still has what is in force at the host.

--- a/libs/node/src/control_api.cpp
+++ b/libs/node/src/control_api.cpp
@@ -12,6 +12,9 @@
 
 constexpr duration submit_timeout = 8s;
 constexpr auto recheck_delay = 20ms;
+// Longer than the leader takes to find out that it has no quorum.
+constexpr duration history_timeout = 4s;
+constexpr std::string_view history_path = "/v1/config/history";
 
 struct submitted_text
 {
@@ -30,6 +33,12 @@
     return result;
 }
 
+http_response make_no_quorum_response()
+{
+    return make_error_response(503, "no quorum: the newest changes are not "
+                                    "known here; ask again");
+}
+
 http_response make_findings_response(const findings& faults)
 {
     return make_json_response(
@@ -72,6 +81,10 @@
 void control_api::handle_forwarded(const api_request& request,
                                    const reply& on_reply)
 {
+    if (request.method_ == "GET" && request.target_ == history_path) {
+        show_own_history(on_reply);
+        return;
+    }
     if (!jobs_.route(request.method_, request.target_, request.body_, false,
                      on_reply))
         on_reply(make_error_response(404, "there is no such call"));
@@ -93,7 +106,7 @@
     std::string method_and_path = method + ' ' + path;
     if (method_and_path == "GET /v1/config")
         show_config(on_reply);
-    else if (method_and_path == "GET /v1/config/history")
+    else if (method == "GET" && path == history_path)
         show_history(on_reply);
     else if (method_and_path == "GET /v1/config/rollout")
         show_rollout(on_reply);
@@ -228,17 +241,45 @@
               {"texts", texts}}));
 }
 
-void control_api::show_history(const reply& on_reply) const
+// The leader answers: a follower may lack the newest changes even if they are
+// in force there already, through gossip.
+void control_api::show_history(const reply& on_reply)
 {
     if (voter_ == nullptr) {
         on_reply(make_error_response(
             421, "ask a voter: this host keeps no history"));
         return;
     }
-    QJsonArray items;
-    for (const config_history_item& item : voter_->state().config().history())
-        items.append(to_json(item));
-    on_reply(make_json_response(200, {{"history", items}}));
+    host_name leader = voter_->leader();
+    if (voter_->is_leader() || leader.empty()) {
+        show_own_history(on_reply);
+        return;
+    }
+    peers_.call<http_response>(
+        leader, api_request{"GET", std::string(history_path), {}},
+        history_timeout, [on_reply](std::optional<http_response> response) {
+            on_reply(response ? std::move(*response)
+                              : make_no_quorum_response());
+        });
+}
+
+void control_api::show_own_history(const reply& on_reply) const
+{
+    if (voter_ == nullptr) {
+        on_reply(make_no_quorum_response());
+        return;
+    }
+    voter_->read(steady_now(), [this, on_reply](bool granted) {
+        if (!granted) {
+            on_reply(make_no_quorum_response());
+            return;
+        }
+        QJsonArray items;
+        for (const config_history_item& item :
+             voter_->state().config().history())
+            items.append(to_json(item));
+        on_reply(make_json_response(200, {{"history", items}}));
+    });
 }
 
 void control_api::show_rollout(const reply& on_reply) const
--- a/libs/node/src/control_api.hpp
+++ b/libs/node/src/control_api.hpp
@@ -43,7 +43,8 @@
     void propose_text(const submit_config& change, instant deadline,
                       const reply& on_reply);
     void show_config(const reply& on_reply) const;
-    void show_history(const reply& on_reply) const;
+    void show_history(const reply& on_reply);
+    void show_own_history(const reply& on_reply) const;
     void show_rollout(const reply& on_reply) const;
     void announce_endpoint(const QJsonObject& body, const reply& on_reply);
     void list_endpoints(const reply& on_reply) const;
--- a/libs/node/src/state_replica.cpp
+++ b/libs/node/src/state_replica.cpp
@@ -91,6 +91,12 @@
         });
 }
 
+void state_replica::read(instant now,
+                         std::function<void(bool granted)> on_answer)
+{
+    replica_->read(now, std::move(on_answer));
+}
+
 bool state_replica::replace_voter(const voter_name& old, const voter_name& next,
                                   const std::string& address, instant now)
 {
--- a/libs/node/src/state_replica.hpp
+++ b/libs/node/src/state_replica.hpp
@@ -53,6 +53,11 @@
     void propose(const QByteArray& command, instant now,
                  response_handler on_response);
 
+    /// Linearizable read: calls the handler once the state reflects every
+    /// command committed before this call; `granted` is false if this replica
+    /// is not the leader or cannot reach a quorum.
+    void read(instant now, std::function<void(bool granted)> on_answer);
+
     bool replace_voter(const voter_name& old, const voter_name& next,
                        const std::string& address, instant now);
     void transfer_leadership(instant now);
