scheduling: other resources of a live worker end none of its tasks

What callers saw: a worker that reported other resources (an accelerator less, more memory, another rack) lost all of its gangs at once: their jobs started elsewhere while the tasks went on there until the stop for orphans arrived. A worker that reported another rack lost them with each report, so that no job on it ever ended.

Cause: the scheduler took other resources for the end of the tasks. Nothing but the worker's own list, its restart or its lease proves that.

Evidence: fake_pool throws now if two attempts of a job run at the same time.

Why it works: more resources count at once. Fewer count only when the gangs beyond them are stopped and confirmed; the worker takes no work and carries no guarantee until then, and the gangs that still fit go on.

--- a/libs/scheduling/include/dandelioncrank/scheduling/worker_pool.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/worker_pool.hpp
@@ -48,6 +48,8 @@
     bool suspect_ = false;
     bool draining_ = false;
     bool quarantined_ = false;
+    /// It reported other resources, which do not count yet.
+    bool resizing_ = false;
 
     /// Assigned to gangs, whether already occupied or not.
     int allocated_ = 0;
@@ -69,12 +71,12 @@
 
     [[nodiscard]] bool usable() const
     {
-        return alive_ && !suspect_ && !draining_ && !quarantined_;
+        return can_carry_guarantees() && !suspect_;
     }
-    /// Alive, and neither draining nor quarantined.
+    /// Alive, and neither draining, quarantined nor being resized.
     [[nodiscard]] bool can_carry_guarantees() const
     {
-        return alive_ && !draining_ && !quarantined_;
+        return alive_ && !draining_ && !quarantined_ && !resizing_;
     }
     [[nodiscard]] int free() const
     {
--- a/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
@@ -165,6 +165,10 @@
     // Workers.
     void update_worker(worker_index index, const worker_report& report,
                        instant now, action_list& out);
+    void resize_worker(worker_index index, const worker_info& info, instant now,
+                       action_list& out);
+    void stop_gangs_beyond(worker_index index, const worker_info& info,
+                           instant now, action_list& out);
     void handle_worker_loss(worker_index index, bool has_restarted, instant now,
                             action_list& out);
     void withdraw_guarantees(worker_index index, action_list& out);
--- a/libs/scheduling/src/zone_scheduler_workers.cpp
+++ b/libs/scheduling/src/zone_scheduler_workers.cpp
@@ -31,9 +31,14 @@
     const pool_worker& worker = pool_.at(index);
     bool restarted = !worker.incarnation_.empty() &&
                      worker.incarnation_ != report.incarnation_;
-    bool changed = worker.info_ != report.info_;
-    if (worker.alive_ && (restarted || changed))
+    if (worker.alive_ && restarted)
         handle_worker_loss(index, restarted, now, out);
+    // The rack is part of a worker's identity. A worker that moves to another
+    // rack needs a new name; a changed rack is ignored.
+    worker_info info = report.info_;
+    info.rack_ = worker.info_.rack_;
+    if (worker.alive_)
+        resize_worker(index, info, now, out);
     bool could_carry_guarantees = worker.can_carry_guarantees();
     bool was_suspect = worker.suspect_;
     by_report_.erase({worker.last_report_, index});
@@ -48,11 +53,10 @@
         if (same_epoch)
             item.last_command_ =
                 std::max(item.last_command_, report.applied_command_);
-        // The rack is part of a worker's identity. A worker that moves to
-        // another rack needs a new name; a changed rack is ignored.
-        rack_name rack = item.info_.rack_;
-        item.info_ = report.info_;
-        item.info_.rack_ = rack;
+        if (!item.alive_) {
+            item.info_ = info;
+            item.resizing_ = false;
+        }
         item.incarnation_ = report.incarnation_;
         item.last_report_ = now;
         item.alive_ = true;
@@ -79,6 +83,74 @@
     pass_pending_ = pass_pending_ || was_suspect;
 }
 
+// The tasks of a live worker go on whatever it reports as its resources, so
+// smaller ones count only when the gangs beyond them are confirmed as ended.
+void zone_scheduler::resize_worker(worker_index index, const worker_info& info,
+                                   instant now, action_list& out)
+{
+    const pool_worker& worker = pool_.at(index);
+    if (worker.info_ == info) {
+        pool_.change(index, [](pool_worker& item) { item.resizing_ = false; });
+        return;
+    }
+    bool is_larger = info.accelerators_ >= worker.info_.accelerators_ &&
+                     info.processors_ >= worker.info_.processors_ &&
+                     info.memory_mb_ >= worker.info_.memory_mb_;
+    if (!is_larger && (!worker.resizing_ || worker.reserved_ > 0)) {
+        pool_.change(index, [](pool_worker& item) { item.resizing_ = true; });
+        withdraw_guarantees(index, out);
+    }
+    if (!is_larger)
+        stop_gangs_beyond(index, info, now, out);
+    bool fits = worker.allocated_ + worker.orphaned_ <= info.accelerators_ &&
+                worker.processors_ <= info.processors_ &&
+                worker.memory_mb_ <= info.memory_mb_;
+    if (!is_larger && !fits)
+        return;
+    pool_.change(index, [&info](pool_worker& item) {
+        item.info_ = info;
+        item.resizing_ = false;
+    });
+    ledger_dirty_ = true;
+    pass_pending_ = true;
+}
+
+// Gangs that may run only once are the last to be stopped.
+void zone_scheduler::stop_gangs_beyond(worker_index index,
+                                       const worker_info& info, instant now,
+                                       action_list& out)
+{
+    std::set<std::pair<bool, gang_key>> gangs;
+    for (const gang_key& key : pool_.at(index).gangs_)
+        gangs.insert({gangs_.at(key).spec_.repeatable_, key});
+    resource_amount kept{pool_.at(index).orphaned_, 0, 0};
+    for (const auto& [repeatable, key] : gangs) {
+        auto found = gangs_.find(key);
+        if (found == gangs_.end() ||
+            found->second.phase_ == gang_phase::stopping)
+            continue;
+        resource_amount total = kept;
+        for (const gang_part& part : found->second.parts_) {
+            if (part.worker_ != index)
+                continue;
+            resource_amount amount =
+                gang_driver::amount_of(found->second, part);
+            total.accelerators_ += amount.accelerators_;
+            total.processors_ += amount.processors_;
+            total.memory_mb_ += amount.memory_mb_;
+        }
+        bool fits = total.accelerators_ <= info.accelerators_ &&
+                    total.processors_ <= info.processors_ &&
+                    total.memory_mb_ <= info.memory_mb_;
+        if (fits) {
+            kept = total;
+            continue;
+        }
+        stop_gang(found->second, stop_cause::part_lost, now, out);
+        update_gang(found->second, now, out);
+    }
+}
+
 // The worker restarted or its lease expired: none of its tasks runs on.
 void zone_scheduler::handle_worker_loss(worker_index index, bool has_restarted,
                                         instant now, action_list& out)
--- a/libs/scheduling/test/fake_pool.hpp
+++ b/libs/scheduling/test/fake_pool.hpp
@@ -100,6 +100,22 @@
         });
     }
 
+    /// The worker reports other resources from then on; its tasks go on.
+    void resize(int index, int accelerators, instant when)
+    {
+        at(when, [this, index, accelerators] {
+            workers_[static_cast<std::size_t>(index)].info_.accelerators_ =
+                accelerators;
+        });
+    }
+    void move_to_rack(int index, const std::string& rack, instant when)
+    {
+        at(when, [this, index, rack] {
+            workers_[static_cast<std::size_t>(index)].info_.rack_ =
+                rack_name(rack);
+        });
+    }
+
     /// Drops all messages between the worker and the scheduler.
     void partition(int index, instant when, duration length)
     {
@@ -364,7 +380,7 @@
     {
         worker& item = workers_[static_cast<std::size_t>(index)];
         // Tasks end when reports stay unanswered for the lease.
-        if (item.online_ && now_ - item.last_answer_ >= options_.lease_)
+        if (item.online_ && is_lease_over(item))
             item.parts_.clear();
         if (item.online_)
             report(index);
@@ -372,6 +388,11 @@
            [this, index] { send_heartbeat(index); });
     }
 
+    bool is_lease_over(const worker& item) const
+    {
+        return now_ - item.last_answer_ >= options_.lease_;
+    }
+
     void report(int index)
     {
         worker& item = workers_[static_cast<std::size_t>(index)];
@@ -482,6 +503,11 @@
         }
         if (!job.spec_.repeatable_ && job.starts_ > 1)
             throw std::logic_error("a job that may run once was started twice");
+        for (const worker& other : workers_) {
+            if (runs_other_attempt(other, key))
+                throw std::logic_error("two attempts of job " + key.job_.str() +
+                                       " run at the same time");
+        }
         int tasks = 0;
         for (const worker& other : workers_) {
             auto found = other.parts_.find(key);
@@ -501,6 +527,18 @@
             throw std::logic_error("a part started without the whole gang");
     }
 
+    bool runs_other_attempt(const worker& item, const gang_key& key) const
+    {
+        return item.online_ && !is_lease_over(item) &&
+               std::any_of(item.parts_.begin(), item.parts_.end(),
+                           [&key](const auto& entry) {
+                               return entry.first.job_ == key.job_ &&
+                                      entry.first != key &&
+                                      entry.second.state_ ==
+                                          part_state::running;
+                           });
+    }
+
     void finish_part(int index, const gang_key& key, std::uint64_t run)
     {
         worker& item = workers_[static_cast<std::size_t>(index)];
--- a/libs/scheduling/test/zone_scheduler_test.cpp
+++ b/libs/scheduling/test/zone_scheduler_test.cpp
@@ -271,6 +271,58 @@
     CHECK(observed(pool, "j").starts_ == 1);
 }
 
+// Other resources were taken for the end of all tasks of the worker, so their
+// jobs started elsewhere while they went on.
+TEST_CASE("a worker that reports other resources keeps its tasks",
+          "[scheduler]")
+{
+    int accelerators = GENERATE(7, 16);
+    fake_pool pool({}, make_options(), make_configuration());
+    for (int i = 0; i < 12; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 3, 1), 60s,
+                    start + 5s);
+    for (int index = 0; index < 12; ++index)
+        pool.resize(index, accelerators, start + 20s);
+    pool.run_to_end(start + 10min);
+    for (const auto& [id, job] : pool.observed_jobs()) {
+        CHECK(job.record_.state_ == job_state::completed);
+        CHECK(job.starts_ == 1);
+    }
+    CHECK(pool.scheduler().summary().accelerators_ == 12 * accelerators);
+}
+
+// A smaller worker's tasks were taken for ended before it had received their
+// stops; fake_pool throws if their jobs start elsewhere meanwhile.
+TEST_CASE("tasks that a smaller worker cannot hold end before they start "
+          "elsewhere",
+          "[scheduler]")
+{
+    pool_options options;
+    options.loss_percent_ = 30;
+    options.seed_ = GENERATE(range(1, 11));
+    fake_pool pool(options, make_options(), make_configuration());
+    for (int i = 0; i < 12; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 6, 1), 60s,
+                    start + 5s);
+    for (int index = 0; index < 6; ++index)
+        pool.resize(index, 4, start + 20s);
+    pool.run_to_end(start + 10min);
+    CHECK(pool.scheduler().summary().accelerators_ == 6 * 4 + 6 * 8);
+}
+
+// The same with a rack, which counted as other resources in each report, so
+// that no task of the worker outlived the next one.
+TEST_CASE("a worker that reports another rack keeps its tasks", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    pool.submit(make_job("j", "c", 96, 1), 30s, start + 15s);
+    pool.move_to_rack(0, "r1", start + 5s);
+    pool.move_to_rack(1, "r1", start + 20s);
+    pool.run_to_end(start + 5min);
+    CHECK(state_of(pool, "j") == job_state::completed);
+    CHECK(observed(pool, "j").starts_ == 1);
+}
+
 TEST_CASE("a worker that fails all tasks is quarantined", "[scheduler]")
 {
     fake_pool pool({}, make_options(), make_configuration());
