scheduling: a stand-in for workers whose leases and answers are those of a real one

The pool of the random runs renewed a worker's lease with each answer at the time of its arrival, answered reports of any age, and gave commands to the process that ran when they were sent, whichever process had reported. An overlapping second crash gave a worker a new incarnation with its tasks.

Now an answer goes to the process that sent the report, as its connection does, and only while a long poll would be open; the lease counts from the time at which the answered report was sent, which the scheduler cannot have received earlier. Any lost part excuses an incomplete start of its own gang only, where a worker that was down excused all gangs.

--- a/libs/scheduling/test/fake_pool.hpp
+++ b/libs/scheduling/test/fake_pool.hpp
@@ -88,15 +88,18 @@
         at(when, [this, index] {
             worker& item = workers_[static_cast<std::size_t>(index)];
             item.online_ = false;
-            item.parts_.clear();
+            drop_parts(item);
         });
         at(when + downtime, [this, index] {
             worker& item = workers_[static_cast<std::size_t>(index)];
+            // Crashes may overlap.
+            if (item.online_)
+                return;
             item.online_ = true;
             ++item.incarnation_;
             item.applied_ = 0;
             item.epoch_ = 0;
-            item.last_answer_ = now_;
+            item.lease_from_ = now_;
         });
     }
 
@@ -214,7 +217,17 @@
         std::uint64_t epoch_ = 0;
         std::uint64_t applied_ = 0;
         std::map<gang_key, part> parts_;
-        instant last_answer_{};
+        /// When the newest report that was answered had been sent.
+        instant lease_from_{};
+    };
+
+    /// Newest report of a worker that the scheduler received (a long poll);
+    /// its answer goes to the process that sent it.
+    struct open_report
+    {
+        int incarnation_ = 0;
+        instant sent_at_{};
+        instant open_until_{};
     };
 
     struct event
@@ -286,6 +299,7 @@
             scheduling_.wait_for_reports_ || is_replacement;
         ++scheduling_.epoch_;
         scheduler_ = std::make_unique<zone_scheduler>(scheduling_);
+        open_reports_.clear();
         scheduler_->configure(rules_, now_);
         for (const auto& [id, job] : observed_jobs_) {
             bool known = !job.record_.spec_.id_.empty();
@@ -359,15 +373,17 @@
             return;
         const worker_name& name =
             workers_[static_cast<std::size_t>(index)].info_.name_;
+        auto found = open_reports_.find(index);
+        if (found == open_reports_.end() || found->second.open_until_ <= now_)
+            return;
         const auto& outbox = scheduler_->outbox(name);
         std::vector<worker_command> commands(outbox.begin(), outbox.end());
-        int incarnation =
-            workers_[static_cast<std::size_t>(index)].incarnation_;
-        at(now_ + message_delay(), [this, index, commands, incarnation] {
+        open_report answered = found->second;
+        at(now_ + message_delay(), [this, index, commands, answered] {
             worker& item = workers_[static_cast<std::size_t>(index)];
-            if (!item.online_ || item.incarnation_ != incarnation)
+            if (!item.online_ || item.incarnation_ != answered.incarnation_)
                 return;
-            item.last_answer_ = now_;
+            item.lease_from_ = std::max(item.lease_from_, answered.sent_at_);
             bool changed = false;
             for (const worker_command& command : commands)
                 changed = apply_command(index, command) || changed;
@@ -381,16 +397,23 @@
         worker& item = workers_[static_cast<std::size_t>(index)];
         // Tasks end when reports stay unanswered for the lease.
         if (item.online_ && is_lease_over(item))
-            item.parts_.clear();
+            drop_parts(item);
         if (item.online_)
             report(index);
         at(now_ + options_.heartbeat_,
            [this, index] { send_heartbeat(index); });
     }
 
+    void drop_parts(worker& item)
+    {
+        for (const auto& entry : item.parts_)
+            gangs_with_loss_.insert(entry.first);
+        item.parts_.clear();
+    }
+
     bool is_lease_over(const worker& item) const
     {
-        return now_ - item.last_answer_ >= options_.lease_;
+        return now_ - item.lease_from_ >= options_.lease_;
     }
 
     void report(int index)
@@ -408,12 +431,15 @@
         if (is_message_lost(index))
             return;
         std::uint64_t number = ++report_number_;
-        at(now_ + message_delay(), [this, index, message, number] {
+        open_report sent{item.incarnation_, now_, {}};
+        at(now_ + message_delay(), [this, index, message, number, sent] {
             // One connection per worker: an overtaken report is dropped.
             std::uint64_t& newest = newest_report_[index];
             if (number < newest)
                 return;
             newest = number;
+            open_reports_[index] = {sent.incarnation_, sent.sent_at_,
+                                    now_ + options_.heartbeat_};
             handle_event(worker_reported{message});
             send_commands(index);
         });
@@ -516,12 +542,10 @@
         }
         // After a crash or a lost message, the other parts are still running
         // until they are told to stop.
-        bool worker_down =
-            std::any_of(workers_.begin(), workers_.end(),
-                        [](const worker& other) { return !other.online_; });
+        bool part_lost = gangs_with_loss_.contains(key);
         bool messages_may_be_lost =
             !partitioned_.empty() || options_.loss_percent_ > 0;
-        if (tasks < job.spec_.tasks_ && !worker_down && !messages_may_be_lost &&
+        if (tasks < job.spec_.tasks_ && !part_lost && !messages_may_be_lost &&
             !job.record_.spec_.id_.empty() &&
             job.record_.state_ != job_state::stopping)
             throw std::logic_error("a part started without the whole gang");
@@ -580,6 +604,8 @@
     std::map<job_id, observed_job> observed_jobs_;
     std::map<gang_key, duration> checkpointed_progress_;
     std::map<int, std::uint64_t> newest_report_;
+    std::map<int, open_report> open_reports_;
+    std::set<gang_key> gangs_with_loss_;
     std::set<int> partitioned_;
     std::priority_queue<event> events_;
     std::uint64_t sequence_ = 0;
