scheduling: a worker that runs more than it holds does not end its new owner

What callers saw: the daemon that acquired a zone ended with "invariant violated: no accelerator is occupied twice", and so did each further owner, when a worker had shrunk and reported the tasks that it still ran.

Cause: a new scheduler adopts what workers report, and trusted them to report no more tasks than accelerators.

Why it works: the worker is adopted with the capacity that it evidently had, as one that shrinks: it gets no work, and its resources count once the gangs beyond them are confirmed as ended. A part of more tasks than its job has is an orphan.

--- a/libs/scheduling/src/zone_scheduler_workers.cpp
+++ b/libs/scheduling/src/zone_scheduler_workers.cpp
@@ -283,6 +283,7 @@
     job_entry& job = found->second;
     bool matches = !queue_.contains(part.gang_.job_) &&
                    job.record_.attempt_ == part.gang_.attempt_ &&
+                   part.tasks_ <= job.record_.spec_.tasks_ &&
                    part.accelerators_ == job.record_.spec_.accelerators_;
     if (!matches)
         return false;
@@ -323,6 +324,14 @@
     item.started_ = item.started_ || adopted_part.phase_ != part_phase::held;
     resource_amount amount = gang_driver::amount_of(item, adopted_part);
     item.parts_.push_back(adopted_part);
+    pool_.change(index, [&](pool_worker& worker) {
+        int used = worker.occupied_ + amount.accelerators_;
+        // A worker that shrank may still run what it held before.
+        if (used > worker.info_.accelerators_) {
+            worker.info_.accelerators_ = used;
+            worker.resizing_ = true;
+        }
+    });
     pool_.allocate(index, amount, item.allocation_);
     pool_.change(index, [&](pool_worker& worker) {
         worker.occupied_ += amount.accelerators_;
--- a/libs/scheduling/test/random_pool_test.cpp
+++ b/libs/scheduling/test/random_pool_test.cpp
@@ -105,6 +105,17 @@
         pool.set_faulty(static_cast<int>(random() % workers));
     if (random() % 5 == 0)
         pool.set_failing(job_id("j0"));
+    // A share of the workers changes its size; drawn apart, so that the seeds
+    // of earlier faults keep their runs.
+    std::mt19937_64 sizes(seed + 1);
+    for (int i = 0; i < 2 && !no_outages && sizes() % 3 == 0; ++i) {
+        auto index = static_cast<int>(sizes() % workers);
+        auto change = std::chrono::milliseconds(sizes() % 240'000);
+        auto size = 1 + static_cast<int>(sizes() % options.accelerators_);
+        pool.resize(index, size, begin + change);
+        pool.resize(index, options.accelerators_,
+                    begin + change + std::chrono::seconds(sizes() % 60));
+    }
     // Every job that fits ends long before this.
     pool.run_to_end(begin + 4h);
     pool.scheduler().check_invariants();
--- a/libs/scheduling/test/zone_scheduler_test.cpp
+++ b/libs/scheduling/test/zone_scheduler_test.cpp
@@ -307,7 +307,30 @@
     for (int index = 0; index < 6; ++index)
         pool.resize(index, 4, start + 20s);
     pool.run_to_end(start + 10min);
-    CHECK(pool.scheduler().summary().accelerators_ == 6 * 4 + 6 * 8);
+    const worker_pool& workers = pool.scheduler().pool();
+    for (int index = 0; index < 12; ++index) {
+        auto known = workers.find(worker_name("w" + std::to_string(index)));
+        REQUIRE(known);
+        CHECK(workers.at(*known).info_.accelerators_ == (index < 6 ? 4 : 8));
+    }
+}
+
+// A new scheduler that adopted more tasks than the worker can hold broke an
+// invariant, which ended the daemon, and the next owner's in turn.
+TEST_CASE("a new scheduler adopts the tasks of a worker that shrank",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    for (int i = 0; i < 24; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 4, 1), 60s,
+                    start + 5s);
+    for (int index = 0; index < 12; ++index)
+        pool.resize(index, 4, start + 20s);
+    pool.replace_scheduler(start + 20s);
+    pool.run_to_end(start + 10min);
+    for (const auto& [id, job] : pool.observed_jobs())
+        CHECK(job.record_.state_ == job_state::completed);
+    CHECK(pool.scheduler().summary().accelerators_ == 12 * 4);
 }
 
 // The same with a rack, which counted as other resources in each report, so
