scheduling: a restart of a worker counts when its new process has answered

What callers saw: one report with another incarnation, such as a late one of an earlier process that a frozen host forwards or one of another writer, was taken for a restart of the worker. All of its gangs were lost and started elsewhere while the live process went on with them; its next report was "a restart" too.

Cause: incarnations have no order, and a single report does not show that its process exists.

Why it works: the first report of another incarnation changes nothing; it is answered with a command "confirm" whose number no earlier report can have applied. The process that applies it is alive, so the name has a new process. Without an answer the live incarnation keeps its tasks until its own lease ends. Answers and commands go to the incarnation that they are for.

--- a/bench/scheduler_cost_bench.cpp
+++ b/bench/scheduler_cost_bench.cpp
@@ -151,7 +151,7 @@
     {
         worker_report& report = reports_[index];
         for (const worker_command& command :
-             scheduler_->outbox(report.info_.name_)) {
+             scheduler_->outbox(report.info_.name_, report.incarnation_)) {
             if (command.number_ <= report.applied_command_)
                 continue;
             report.epoch_ = command.epoch_;
--- a/libs/node/src/zone_service.cpp
+++ b/libs/node/src/zone_service.cpp
@@ -340,12 +340,12 @@
         on_commands({});
         return;
     }
-    const auto& commands = scheduler_->outbox(worker);
+    const auto& commands = scheduler_->outbox(worker, reported.incarnation_);
     if (!commands.empty() || wait <= duration::zero()) {
         on_commands({commands.begin(), commands.end()});
         return;
     }
-    polls_[worker] = {++next_poll_, steady_now() + wait,
+    polls_[worker] = {reported.incarnation_, steady_now() + wait,
                       std::move(on_commands)};
 }
 
@@ -354,10 +354,10 @@
     auto found = polls_.find(worker);
     if (found == polls_.end())
         return;
-    command_handler handler = std::move(found->second.on_commands_);
+    pending_poll poll = std::move(found->second);
     polls_.erase(found);
-    const auto& commands = scheduler_->outbox(worker);
-    handler({commands.begin(), commands.end()});
+    const auto& commands = scheduler_->outbox(worker, poll.incarnation_);
+    poll.on_commands_({commands.begin(), commands.end()});
 }
 
 void zone_service::complete_expired_polls(instant now)
--- a/libs/node/src/zone_service.hpp
+++ b/libs/node/src/zone_service.hpp
@@ -58,7 +58,7 @@
   private:
     struct pending_poll
     {
-        std::uint64_t number_ = 0;
+        std::string incarnation_;
         instant deadline_;
         command_handler on_commands_;
     };
@@ -97,7 +97,6 @@
     std::map<job_id, job_record> dirty_records_;
     std::set<job_id> writing_;
     std::map<worker_name, pending_poll> polls_;
-    std::uint64_t next_poll_ = 0;
     instant ticked_at_{};
 };
 
--- a/libs/scheduling/include/dandelioncrank/scheduling/scheduling_types.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/scheduling_types.hpp
@@ -141,7 +141,9 @@
     start,
     checkpoint,
     throttle,
-    stop
+    stop,
+    /// Does nothing; applying it shows that the worker's process is alive.
+    confirm
 };
 
 [[nodiscard]] std::string to_text(command_kind value);
--- a/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
@@ -99,9 +99,10 @@
     [[nodiscard]] scheduling_actions handle(const scheduling_event& event,
                                             instant now);
 
-    /// Commands that the worker has not yet acknowledged, oldest first.
+    /// Commands that this incarnation of the worker has not yet acknowledged,
+    /// oldest first.
     [[nodiscard]] const std::deque<worker_command>&
-    outbox(const worker_name& worker) const;
+    outbox(const worker_name& worker, const std::string& incarnation) const;
 
     [[nodiscard]] std::vector<team_view> teams(instant now) const;
     [[nodiscard]] std::optional<job_view> job(const job_id& id,
@@ -138,6 +139,14 @@
         std::uint64_t command_ = 0;
     };
 
+    /// Process that reports under the name of a live worker and has not yet
+    /// been confirmed as its next incarnation.
+    struct newcomer
+    {
+        std::string incarnation_;
+        std::deque<worker_command> commands_;
+    };
+
     using action_list = scheduling_actions;
 
     // Events.
@@ -163,6 +172,8 @@
     void end_unplaceable_jobs(instant now, action_list& out);
 
     // Workers.
+    [[nodiscard]] bool is_confirmed(worker_index index,
+                                    const worker_report& report);
     void update_worker(worker_index index, const worker_report& report,
                        instant now, action_list& out);
     void resize_worker(worker_index index, const worker_info& info, instant now,
@@ -255,6 +266,7 @@
     std::set<gang_key> gangs_in_transition_;
     std::unordered_map<job_id, job_entry> jobs_;
     std::map<worker_index, std::map<gang_key, orphan>> orphans_;
+    std::map<worker_index, newcomer> newcomers_;
     std::set<std::pair<instant, worker_index>> by_report_;
     std::map<worker_index, instant> quarantine_ends_;
     bool recovery_pending_ = false;
--- a/libs/scheduling/src/scheduling_types.cpp
+++ b/libs/scheduling/src/scheduling_types.cpp
@@ -75,6 +75,8 @@
         return "checkpoint";
     case command_kind::throttle:
         return "throttle";
+    case command_kind::confirm:
+        return "confirm";
     case command_kind::stop:
         break;
     }
--- a/libs/scheduling/src/zone_scheduler.cpp
+++ b/libs/scheduling/src/zone_scheduler.cpp
@@ -303,11 +303,19 @@
 }
 
 const std::deque<worker_command>&
-zone_scheduler::outbox(const worker_name& worker) const
+zone_scheduler::outbox(const worker_name& worker,
+                       const std::string& incarnation) const
 {
     static const std::deque<worker_command> empty;
     auto index = pool_.find(worker);
-    return index ? driver_->outbox(*index) : empty;
+    if (!index)
+        return empty;
+    if (pool_.at(*index).incarnation_ == incarnation)
+        return driver_->outbox(*index);
+    auto found = newcomers_.find(*index);
+    bool is_newcomer =
+        found != newcomers_.end() && found->second.incarnation_ == incarnation;
+    return is_newcomer ? found->second.commands_ : empty;
 }
 
 } // namespace dandelioncrank
--- a/libs/scheduling/src/zone_scheduler_workers.cpp
+++ b/libs/scheduling/src/zone_scheduler_workers.cpp
@@ -18,12 +18,47 @@
                                   action_list& out)
 {
     worker_index index = pool_.find_or_add(report.info_);
+    if (!is_confirmed(index, report))
+        return;
     update_worker(index, report, now, out);
     apply_reported_parts(index, report, now, out);
     handle_unknown_parts(index, report, now, out);
     clear_orphans(index, report);
 }
 
+// A report of another incarnation is no proof that the live one has ended: it
+// may be a late one of an earlier process, or of another writer. A process that
+// applies a command sent after its first report is alive, so the worker has
+// restarted.
+bool zone_scheduler::is_confirmed(worker_index index,
+                                  const worker_report& report)
+{
+    const pool_worker& worker = pool_.at(index);
+    if (!worker.alive_) {
+        newcomers_.erase(index);
+        return true;
+    }
+    if (worker.incarnation_ == report.incarnation_)
+        return true;
+    newcomer& item = newcomers_[index];
+    bool is_known = item.incarnation_ == report.incarnation_;
+    if (is_known && report.epoch_ == options_.epoch_ &&
+        report.applied_command_ >= item.commands_.front().number_) {
+        newcomers_.erase(index);
+        return true;
+    }
+    if (is_known)
+        return false;
+    worker_command command;
+    command.kind_ = command_kind::confirm;
+    command.epoch_ = options_.epoch_;
+    pool_.change(index, [&command](pool_worker& changed) {
+        command.number_ = ++changed.last_command_;
+    });
+    item = {report.incarnation_, {command}};
+    return false;
+}
+
 void zone_scheduler::update_worker(worker_index index,
                                    const worker_report& report, instant now,
                                    action_list& out)
--- a/libs/scheduling/test/fake_pool.hpp
+++ b/libs/scheduling/test/fake_pool.hpp
@@ -119,6 +119,33 @@
         });
     }
 
+    /// A copy of the worker's report takes another way, through a host that
+    /// forwards it late; the worker's process need not exist any more then.
+    void delay_report(int index, instant when, duration delay)
+    {
+        at(when, [this, index, delay] {
+            const worker& item = workers_[static_cast<std::size_t>(index)];
+            if (!item.online_)
+                return;
+            open_report sent{item.incarnation_, now_, {}};
+            worker_report message = make_report(item);
+            at(now_ + delay, [this, index, message, sent] {
+                deliver_report(index, message, sent);
+            });
+        });
+    }
+
+    /// Another writer reports under the name of a worker, once.
+    void forge_report(int index, instant when)
+    {
+        at(when, [this, index] {
+            worker_report message;
+            message.info_ = workers_[static_cast<std::size_t>(index)].info_;
+            message.incarnation_ = "forged";
+            deliver_report(index, message, {});
+        });
+    }
+
     /// Drops all messages between the worker and the scheduler.
     void partition(int index, instant when, duration length)
     {
@@ -376,7 +403,8 @@
         auto found = open_reports_.find(index);
         if (found == open_reports_.end() || found->second.open_until_ <= now_)
             return;
-        const auto& outbox = scheduler_->outbox(name);
+        const auto& outbox = scheduler_->outbox(
+            name, std::to_string(found->second.incarnation_));
         std::vector<worker_command> commands(outbox.begin(), outbox.end());
         open_report answered = found->second;
         at(now_ + message_delay(), [this, index, commands, answered] {
@@ -416,9 +444,8 @@
         return now_ - item.lease_from_ >= options_.lease_;
     }
 
-    void report(int index)
+    worker_report make_report(const worker& item) const
     {
-        worker& item = workers_[static_cast<std::size_t>(index)];
         worker_report message;
         message.info_ = item.info_;
         message.incarnation_ = std::to_string(item.incarnation_);
@@ -428,23 +455,36 @@
             message.parts_.push_back({key, worker_part.state_,
                                       worker_part.tasks_,
                                       worker_part.accelerators_});
+        return message;
+    }
+
+    void report(int index)
+    {
+        const worker& item = workers_[static_cast<std::size_t>(index)];
         if (is_message_lost(index))
             return;
         std::uint64_t number = ++report_number_;
         open_report sent{item.incarnation_, now_, {}};
+        worker_report message = make_report(item);
         at(now_ + message_delay(), [this, index, message, number, sent] {
             // One connection per worker: an overtaken report is dropped.
             std::uint64_t& newest = newest_report_[index];
             if (number < newest)
                 return;
             newest = number;
-            open_reports_[index] = {sent.incarnation_, sent.sent_at_,
-                                    now_ + options_.heartbeat_};
-            handle_event(worker_reported{message});
-            send_commands(index);
+            deliver_report(index, message, sent);
         });
     }
 
+    void deliver_report(int index, const worker_report& message,
+                        const open_report& sent)
+    {
+        open_reports_[index] = {sent.incarnation_, sent.sent_at_,
+                                now_ + options_.heartbeat_};
+        handle_event(worker_reported{message});
+        send_commands(index);
+    }
+
     bool apply_command(int index, const worker_command& command)
     {
         worker& item = workers_[static_cast<std::size_t>(index)];
@@ -468,6 +508,7 @@
             checkpoint(item, command.gang_);
             break;
         case command_kind::throttle:
+        case command_kind::confirm:
             break;
         case command_kind::stop:
             item.parts_.erase(command.gang_);
--- a/libs/scheduling/test/zone_scheduler_test.cpp
+++ b/libs/scheduling/test/zone_scheduler_test.cpp
@@ -271,6 +271,53 @@
     CHECK(observed(pool, "j").starts_ == 1);
 }
 
+// Any other incarnation was taken for a restart, so the tasks of the live
+// process were lost and started elsewhere while they went on.
+TEST_CASE("a late report of an earlier incarnation ends no task", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    for (int index = 0; index < 12; ++index) {
+        pool.delay_report(index, start + 5s, 25s);
+        pool.crash(index, start + 6s, 2s);
+    }
+    for (int i = 0; i < 6; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 8, 1), 60s,
+                    start + 20s);
+    pool.run_to_end(start + 10min);
+    for (const auto& [id, job] : pool.observed_jobs()) {
+        CHECK(job.record_.state_ == job_state::completed);
+        CHECK(job.starts_ == 1);
+    }
+}
+
+// The same with one report of another writer.
+TEST_CASE("a report under the name of a live worker ends no task",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    for (int i = 0; i < 6; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 8, 1), 60s,
+                    start + 20s);
+    for (int index = 0; index < 12; ++index)
+        pool.forge_report(index, start + 30s);
+    pool.run_to_end(start + 10min);
+    for (const auto& [id, job] : pool.observed_jobs()) {
+        CHECK(job.record_.state_ == job_state::completed);
+        CHECK(job.starts_ == 1);
+    }
+}
+
+// A restart that is confirmed must not wait for the lease of the earlier
+// incarnation.
+TEST_CASE("the tasks of a restarted worker start again at once", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    pool.submit(make_job("j", "c", 96, 1), 60s, start + 5s);
+    pool.crash(3, start + 20s, 100ms);
+    pool.run_until(start + 24s);
+    CHECK(observed(pool, "j").starts_ == 2);
+}
+
 // Other resources were taken for the end of all tasks of the worker, so their
 // jobs started elsewhere while they went on.
 TEST_CASE("a worker that reports other resources keeps its tasks",
