scheduling: an adopted part ends by a report that is newer than its adoption

What callers saw: after a change of the zone's owner, a gang that ran was stopped in part and started elsewhere while the rest of it went on.

Cause: reports to a new owner carry the earlier epoch, so the owner took each report that did not list an adopted part for its end, also one that had been sent before the start and came late.

Why it works: the owner sends "confirm" for each adopted part. Only a report that has applied it can end the part by not listing it.

--- a/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
@@ -187,7 +187,8 @@
                               instant now, action_list& out);
     void handle_unknown_parts(worker_index index, const worker_report& report,
                               instant now, action_list& out);
-    bool adopt_part(worker_index index, const reported_part& part, instant now);
+    bool adopt_part(worker_index index, const reported_part& part, instant now,
+                    action_list& out);
     void clear_orphans(worker_index index, const worker_report& report);
     void forget_orphans(worker_index index);
     void expire_leases(instant now, action_list& out);
--- a/libs/scheduling/src/gang_driver.cpp
+++ b/libs/scheduling/src/gang_driver.cpp
@@ -218,6 +218,12 @@
     return stop_cause::hold_refused;
 }
 
+void gang_driver::confirm(gang& item, gang_part& part, instant now,
+                          scheduling_actions& out)
+{
+    send(command_kind::confirm, item, part, now, out);
+}
+
 void gang_driver::mark_part_lost(gang& item, gang_part& part, instant now)
 {
     set_phase(item, part, part_phase::ended, now);
--- a/libs/scheduling/src/gang_driver.hpp
+++ b/libs/scheduling/src/gang_driver.hpp
@@ -28,6 +28,11 @@
     stop_cause apply(gang& item, gang_part& part, const reported_part* reported,
                      std::uint64_t applied_command, instant now);
 
+    /// Asks the worker of an adopted part for a report that is newer than the
+    /// one that listed it.
+    void confirm(gang& item, gang_part& part, instant now,
+                 scheduling_actions& out);
+
     /// Ends the part of a worker that restarted or whose lease expired.
     void mark_part_lost(gang& item, gang_part& part, instant now);
 
--- a/libs/scheduling/src/zone_scheduler_workers.cpp
+++ b/libs/scheduling/src/zone_scheduler_workers.cpp
@@ -295,7 +295,7 @@
     for (const reported_part& part : report.parts_) {
         if (pool_.at(index).gangs_.contains(part.gang_))
             continue;
-        if (recovering_until_ && adopt_part(index, part, now))
+        if (recovering_until_ && adopt_part(index, part, now, out))
             continue;
         auto& known = orphans_[index];
         if (known.contains(part.gang_))
@@ -310,7 +310,7 @@
 
 // Adopts a part that an earlier scheduler of the zone started.
 bool zone_scheduler::adopt_part(worker_index index, const reported_part& part,
-                                instant now)
+                                instant now, action_list& out)
 {
     auto found = jobs_.find(part.gang_.job_);
     if (found == jobs_.end())
@@ -372,6 +372,9 @@
         worker.occupied_ += amount.accelerators_;
         worker.gangs_.insert(item.key_);
     });
+    // Reports of the earlier epoch can overtake each other: one that does not
+    // list the part may be older than this one.
+    driver_->confirm(item, item.parts_.back(), now, out);
     return true;
 }
 
--- a/libs/scheduling/test/random_pool_test.cpp
+++ b/libs/scheduling/test/random_pool_test.cpp
@@ -105,7 +105,7 @@
         pool.set_faulty(static_cast<int>(random() % workers));
     if (random() % 5 == 0)
         pool.set_failing(job_id("j0"));
-    // A share of the workers changes its size; drawn apart, so that the seeds
+    // A share of the workers changes its size; drawn apart, as the seeds
     // of earlier faults keep their runs.
     std::mt19937_64 sizes(seed + 1);
     for (int i = 0; i < 2 && !no_outages && sizes() % 3 == 0; ++i) {
@@ -116,6 +116,16 @@
         pool.resize(index, options.accelerators_,
                     begin + change + std::chrono::seconds(sizes() % 60));
     }
+    std::mt19937_64 others(seed + 2);
+    for (int i = 0; i < 8 && !no_outages; ++i) {
+        auto index = static_cast<int>(others() % workers);
+        auto when = begin + std::chrono::milliseconds(others() % 240'000);
+        if (i < 6)
+            pool.delay_report(index, when,
+                              std::chrono::milliseconds(others() % 40'000));
+        else if (others() % 2 == 0)
+            pool.forge_report(index, when);
+    }
     // Every job that fits ends long before this.
     pool.run_to_end(begin + 4h);
     pool.scheduler().check_invariants();
--- a/libs/scheduling/test/zone_scheduler_test.cpp
+++ b/libs/scheduling/test/zone_scheduler_test.cpp
@@ -307,6 +307,25 @@
     }
 }
 
+// A new scheduler took a report from before the start for the end of the gang
+// that it had adopted.
+TEST_CASE("a late report ends no task that a new scheduler has adopted",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    for (int index = 0; index < 12; ++index)
+        pool.delay_report(index, start + 5s, 20s);
+    for (int i = 0; i < 6; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 8, 1), 60s,
+                    start + 10s);
+    pool.replace_scheduler(start + 20s);
+    pool.run_to_end(start + 10min);
+    for (const auto& [id, job] : pool.observed_jobs()) {
+        CHECK(job.record_.state_ == job_state::completed);
+        CHECK(job.starts_ == 1);
+    }
+}
+
 // A restart that is confirmed must not wait for the lease of the earlier
 // incarnation.
 TEST_CASE("the tasks of a restarted worker start again at once", "[scheduler]")
