scheduling: a stand-in whose new schedulers read records that lag behind

The pool of the random runs persisted each change of a job at once, which the daemon does not: it writes beside the scheduler, and an earlier owner's writes are rejected. Now a new scheduler reads what was persisted write_delay before. Final states are still written as they are reported.

--- a/libs/scheduling/test/fake_pool.hpp
+++ b/libs/scheduling/test/fake_pool.hpp
@@ -30,6 +30,9 @@
     /// Checks all invariants after every event.
     bool check_every_event_ = true;
     duration tick_ = std::chrono::milliseconds(100);
+    /// Time until the record of a job is persisted; a final one is reported
+    /// and persisted at the same time.
+    duration write_delay_ = std::chrono::milliseconds(100);
 };
 
 /// Simulated workers around one real scheduler, in virtual time. Records what
@@ -73,6 +76,7 @@
         job.spec_ = spec;
         job.remaining_ = run_time;
         job.arrived_ = when;
+        job.persisted_.spec_ = spec;
         ++unfinished_;
         at(when, [this, spec] { handle_event(job_submitted{spec}); });
     }
@@ -201,6 +205,8 @@
         std::optional<instant> started_;
         std::optional<instant> ended_;
         job_record record_;
+        /// What a new scheduler reads.
+        job_record persisted_;
         int starts_ = 0;
         bool fails_ = false;
         bool crashes_ = false;
@@ -331,7 +337,7 @@
         for (const auto& [id, job] : observed_jobs_) {
             bool known = !job.record_.spec_.id_.empty();
             if (known && !is_final(job.record_.state_))
-                handle_event(job_recovered{job.record_});
+                handle_event(job_recovered{job.persisted_});
         }
     }
 
@@ -369,8 +375,10 @@
         if (job.ended_)
             throw std::logic_error("a job has ended twice");
         job.record_ = record;
-        if (!is_final(record.state_))
+        if (!is_final(record.state_)) {
+            persist(record);
             return;
+        }
         job.ended_ = now_;
         --unfinished_;
         bool ran = job.starts_ > 0;
@@ -383,13 +391,27 @@
                 "a job is completed before its tasks finish");
     }
 
-    void record_start(const gang_key& key)
+    // Writes of an earlier scheduler are rejected.
+    void persist(const job_record& record)
     {
-        observed_jobs_.at(key.job_).record_.state_ = job_state::running;
         std::uint64_t epoch = scheduling_.epoch_;
-        at(now_ + message_delay(), [this, key, epoch] {
+        at(now_ + options_.write_delay_, [this, record, epoch] {
             if (epoch == scheduling_.epoch_)
-                handle_event(start_recorded{key});
+                observed_jobs_.at(record.spec_.id_).persisted_ = record;
+        });
+    }
+
+    void record_start(const gang_key& key)
+    {
+        observed_job& job = observed_jobs_.at(key.job_);
+        job.record_.state_ = job_state::running;
+        job_record started = job.record_;
+        std::uint64_t epoch = scheduling_.epoch_;
+        at(now_ + message_delay(), [this, key, epoch, started] {
+            if (epoch != scheduling_.epoch_)
+                return;
+            observed_jobs_.at(key.job_).persisted_ = started;
+            handle_event(start_recorded{key});
         });
     }
 
--- a/libs/scheduling/test/zone_scheduler_test.cpp
+++ b/libs/scheduling/test/zone_scheduler_test.cpp
@@ -326,6 +326,25 @@
     }
 }
 
+// A new scheduler whose records are older than a start must not start the job
+// again before the tasks have been stopped or their lease is over.
+TEST_CASE("a job starts only after tasks that its record does not know of",
+          "[scheduler]")
+{
+    pool_options options;
+    options.write_delay_ = 10s;
+    options.loss_percent_ = 30;
+    options.seed_ = GENERATE(range(1, 21));
+    fake_pool pool(options, make_options(), make_configuration());
+    for (int i = 0; i < 6; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 8, 1), 60s,
+                    start + 10s);
+    pool.replace_scheduler(start + 19s);
+    pool.run_to_end(start + 30min);
+    for (const auto& [id, job] : pool.observed_jobs())
+        CHECK(job.record_.state_ == job_state::completed);
+}
+
 // A restart that is confirmed must not wait for the lease of the earlier
 // incarnation.
 TEST_CASE("the tasks of a restarted worker start again at once", "[scheduler]")
