scheduling: a worker's lease counts from the report that was answered

What callers saw: a worker that is cut off goes on with its tasks for up to the length of a long poll after the owner has taken its lease for over and started them elsewhere. The simulated workers checked their lease with answers and time-outs only, so they were later still.

Cause: the worker counted its lease from the response, which the daemon may hold back for up to 10 s; the daemon counts it from the arrival of the report.

The simulated worker itself has no test of its own.

Why it works: a report is never received before it is sent, so the worker's lease is never later than the daemon's. A timer ends the tasks at its end. The daemon holds a report for a third of the lease at most, so that workers whose polls are long renew their lease in time; a wait beyond all bounds no longer overflows.

--- a/libs/node/src/job_api.cpp
+++ b/libs/node/src/job_api.cpp
@@ -2,6 +2,8 @@
 
 #include "json_conversion.hpp"
 
+#include <algorithm>
+
 namespace dandelioncrank {
 
 namespace {
@@ -10,6 +12,9 @@
 
 constexpr duration forward_timeout = 15s;
 constexpr duration max_poll_wait = 10s;
+// A held report does not renew the worker's lease, so its response must leave
+// time for further ones.
+constexpr int min_polls_per_lease = 3;
 
 /// Job id that follows the prefix of a path.
 std::optional<job_id> id_after_prefix(const std::string& path,
@@ -200,9 +205,12 @@
     }
     try {
         worker_report reported = report_from_json(*object);
-        duration wait =
-            std::chrono::milliseconds(object->value("wait_ms").toInteger(0));
-        wait = std::clamp(wait, duration::zero(), max_poll_wait);
+        duration longest =
+            std::min(max_poll_wait, settings_.lease_ / min_polls_per_lease);
+        // Clamped before the conversion, which overflows far beyond.
+        duration wait = std::chrono::milliseconds(
+            std::clamp<qint64>(object->value("wait_ms").toInteger(0), 0,
+                               longest / std::chrono::milliseconds(1)));
         zone_.report(
             reported, wait,
             [on_reply](const std::vector<worker_command>& commands) {
--- a/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
@@ -30,8 +30,9 @@
     std::uint64_t epoch_ = 1;
     order_policy order_ = order_policy::attained_service;
     placement_policy placement_ = placement_policy::best_fit;
-    /// A worker stops its tasks when its reports stay unanswered for this
-    /// long, and is considered lost after this time plus a margin.
+    /// A worker stops its tasks this long after it sent the newest report that
+    /// was answered, and is considered lost this time plus a margin after its
+    /// newest report was received.
     duration lease_ = std::chrono::seconds(10);
     /// Collect reports for one lease before starting any job, because tasks
     /// of an earlier scheduler may still be running.
--- a/tools/worker_standin.cpp
+++ b/tools/worker_standin.cpp
@@ -12,6 +12,7 @@
 
 #include <absl/flags/flag.h>
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <iostream>
@@ -30,8 +31,8 @@
           "run time of tasks whose job id does not end in -NUMBERms, in ms");
 ABSL_FLAG(int, heartbeat_ms, 2000, "longest interval between reports, in ms");
 ABSL_FLAG(int, lease_ms, 10000,
-          "tasks are dropped when no report is acknowledged for this time, "
-          "in ms");
+          "tasks are dropped this time after the newest report with a response "
+          "was sent, in ms");
 ABSL_FLAG(std::string, journal, "",
           "file to which each task start is appended");
 ABSL_FLAG(std::string, token, "", "bearer token for reports");
@@ -42,6 +43,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto retry_interval = 200ms;
+constexpr auto lease_check_interval = 100ms;
 
 /// Run time from the job id: "nightly-300ms" runs for 300 ms.
 std::chrono::milliseconds task_run_time(const std::string& job)
@@ -63,9 +65,11 @@
           rack_("rack-" +
                 std::to_string(index / absl::GetFlag(FLAGS_per_rack))),
           incarnation_(QUuid::createUuid().toString(QUuid::WithoutBraces)),
-          daemon_client_(client), journal_(journal),
-          last_response_at_(steady_now())
+          daemon_client_(client), journal_(journal), lease_from_(steady_now())
     {
+        QObject::connect(&lease_timer_, &QTimer::timeout,
+                         [this] { check_lease(); });
+        lease_timer_.start(lease_check_interval);
         send_report();
     }
 
@@ -83,13 +87,23 @@
     void send_report()
     {
         std::uint64_t number = ++last_report_;
+        instant sent_at = steady_now();
         int wait_ms = absl::GetFlag(FLAGS_heartbeat_ms);
         auto timeout = std::chrono::milliseconds(wait_ms + 2000);
-        daemon_client_.post(
-            "/v1/workers/report", make_report(wait_ms), timeout,
-            [this, number](const std::optional<QJsonObject>& response) {
-                handle_response(number, response);
-            });
+        daemon_client_.post("/v1/workers/report", make_report(wait_ms), timeout,
+                            [this, number, sent_at](
+                                const std::optional<QJsonObject>& response) {
+                                handle_response(number, sent_at, response);
+                            });
+    }
+
+    // The daemon counts the lease from the arrival of the report, so a lease
+    // from the response, which it holds back, would outlast the daemon's.
+    void check_lease()
+    {
+        auto lease = std::chrono::milliseconds(absl::GetFlag(FLAGS_lease_ms));
+        if (steady_now() - lease_from_ >= lease)
+            parts_.clear();
     }
 
     QJsonObject make_report(int wait_ms) const
@@ -115,18 +129,15 @@
                 {"wait_ms", wait_ms}};
     }
 
-    void handle_response(std::uint64_t number,
+    void handle_response(std::uint64_t number, instant sent_at,
                          const std::optional<QJsonObject>& response)
     {
-        instant now = steady_now();
+        check_lease();
         if (response) {
-            last_response_at_ = now;
+            lease_from_ = std::max(lease_from_, sent_at);
             for (const QJsonValue& value : (*response)["commands"].toArray())
                 execute_command(value.toObject());
         }
-        auto lease = std::chrono::milliseconds(absl::GetFlag(FLAGS_lease_ms));
-        if (now - last_response_at_ >= lease)
-            parts_.clear();
         // Superseded by a newer report.
         if (number != last_report_)
             return;
@@ -214,7 +225,9 @@
     std::uint64_t epoch_ = 0;
     std::uint64_t last_applied_command_ = 0;
     std::uint64_t last_report_ = 0;
-    instant last_response_at_;
+    /// When the newest report with a response was sent.
+    instant lease_from_;
+    QTimer lease_timer_;
 };
 
 } // namespace
