scheduling: the tasks of an odd report take no more than the worker

What callers saw: one report of 600 unknown parts of 4096 tasks with 1024 accelerators, all within the limits of the fields, ended the daemon with std::bad_alloc; the next owner would have received it as well.

Cause: the accelerators of unknown tasks were summed without a bound. The sum became negative, so the worker had 2^31 free accelerators.

Evidence: before, "a report of many unknown tasks leaves the scheduler intact" ended with std::bad_alloc.

Why it works: each unknown part counts for the whole worker at most. The worker takes work again when a report shows that they have ended.

--- a/libs/scheduling/src/zone_scheduler_workers.cpp
+++ b/libs/scheduling/src/zone_scheduler_workers.cpp
@@ -300,7 +300,9 @@
         auto& known = orphans_[index];
         if (known.contains(part.gang_))
             continue;
-        int amount = part.tasks_ * part.accelerators_;
+        // All of the worker is the most that they can occupy.
+        int amount = std::min(part.tasks_ * part.accelerators_,
+                              pool_.at(index).info_.accelerators_);
         pool_.change(index,
                      [amount](pool_worker& item) { item.orphaned_ += amount; });
         known[part.gang_] = {amount,
--- a/libs/scheduling/test/zone_scheduler_test.cpp
+++ b/libs/scheduling/test/zone_scheduler_test.cpp
@@ -356,6 +356,40 @@
     CHECK(observed(pool, "j").starts_ == 2);
 }
 
+// The accelerators of unknown tasks were summed without a bound: the sum became
+// negative, jobs were placed beyond the worker, and an invariant ended the
+// daemon.
+TEST_CASE("a report of many unknown tasks leaves the scheduler intact",
+          "[scheduler]")
+{
+    zone_scheduler scheduler(make_options());
+    instant now = start;
+    scheduler.configure(make_configuration(), now);
+    auto handle = [&](const scheduling_event& event) {
+        now += 100ms;
+        return scheduler.handle(event, now);
+    };
+    worker_report report;
+    report.info_ = {worker_name("w0"), rack_name("r0"), 8, 64, 1 << 20};
+    report.incarnation_ = "1";
+    for (int i = 0; i < 600; ++i)
+        report.parts_.push_back({{job_id("x" + std::to_string(i)), 1},
+                                 part_state::running,
+                                 4096,
+                                 1024});
+    static_cast<void>(handle(worker_reported{report}));
+    static_cast<void>(handle(job_submitted{make_job("j", "c", 8, 1)}));
+    for (int i = 0; i < 20; ++i)
+        REQUIRE_NOTHROW(handle(scheduler_ticked{}));
+    scheduler.check_invariants();
+    CHECK(scheduler.pool().at(0).free() <= 0);
+    report.parts_.clear();
+    report.epoch_ = make_options().epoch_;
+    report.applied_command_ = 600;
+    static_cast<void>(handle(worker_reported{report}));
+    CHECK(scheduler.summary().gangs_ == 1);
+}
+
 // Other resources were taken for the end of all tasks of the worker, so their
 // jobs started elsewhere while they went on.
 TEST_CASE("a worker that reports other resources keeps its tasks",
