node: numbers out of range in reports and announcements are findings

What callers saw: an endpoint that was announced with sequence -1 counted as announced with the highest one, so that its own announcements changed nothing until the odd one expired, after up to ten minutes. A worker's report with a negative, fractional or textual epoch, command number or attempt counted as 0, and one near 2^63 made the numbers of the next commands negative in their JSON. An endpoint with port 0 was accepted.

Cause: these counters were converted without a check.

Why it works: a counter is a whole number below 2^53; anything else is answered with 422 and a finding, and changes nothing.

--- a/libs/node/src/control_api.cpp
+++ b/libs/node/src/control_api.cpp
@@ -273,8 +273,8 @@
         // the daemon that receives them.
         auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
             std::chrono::system_clock::now().time_since_epoch());
-        auto sequence = static_cast<std::uint64_t>(
-            body.value("sequence").toInteger(now.count()));
+        std::uint64_t sequence =
+            sequence_from_json(body, static_cast<std::uint64_t>(now.count()));
         on_announce_(info, sequence);
         on_reply(make_json_response(200, {{"ok", true}}));
     } catch (const findings_error& error) {
--- a/libs/node/src/json_conversion.cpp
+++ b/libs/node/src/json_conversion.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// The largest that every JSON reader represents exactly.
+constexpr qint64 max_counter = (qint64(1) << 53) - 1;
+
 /// Reads typed fields of a JSON object and collects errors as findings.
 class field_reader
 {
@@ -46,10 +49,18 @@
         return static_cast<int>(result);
     }
 
-    std::uint64_t counter(const char* key)
+    std::uint64_t counter(const char* key, std::uint64_t default_value = 0)
     {
-        return static_cast<std::uint64_t>(
-            std::max<qint64>(0, object_.value(key).toInteger(0)));
+        QJsonValue value = object_.value(key);
+        if (value.isUndefined())
+            return default_value;
+        qint64 result = value.toInteger(-1);
+        if (result < 0 || result > max_counter) {
+            add_error(key, "a whole number from 0 to " +
+                               std::to_string(max_counter));
+            return default_value;
+        }
+        return static_cast<std::uint64_t>(result);
     }
 
     bool boolean(const char* key, bool default_value)
@@ -313,7 +324,7 @@
     findings faults;
     info.address_ =
         parse_host_port(reader.required_text("address"), "address", faults);
-    if (!faults.empty())
+    if (!faults.empty() || info.address_.port_ == 0)
         reader.add_error("address", "IP:PORT");
     info.slots_ = reader.number("slots", 8, 1, 10000);
     info.connections_ = reader.number("connections", 64, 1, 100000);
@@ -327,4 +338,13 @@
     return info;
 }
 
+std::uint64_t sequence_from_json(const QJsonObject& object,
+                                 std::uint64_t default_value)
+{
+    field_reader reader(object, "endpoint");
+    std::uint64_t sequence = reader.counter("sequence", default_value);
+    reader.finish();
+    return sequence;
+}
+
 } // namespace dandelioncrank
--- a/libs/node/src/json_conversion.hpp
+++ b/libs/node/src/json_conversion.hpp
@@ -41,5 +41,8 @@
 [[nodiscard]] job_spec job_from_json(const QJsonObject& object);
 [[nodiscard]] worker_report report_from_json(const QJsonObject& object);
 [[nodiscard]] endpoint_info endpoint_from_json(const QJsonObject& object);
+/// Sequence number of an endpoint's announcement.
+[[nodiscard]] std::uint64_t sequence_from_json(const QJsonObject& object,
+                                               std::uint64_t default_value);
 
 } // namespace dandelioncrank
