--- a/libs/scheduling/test/random_pool_test.cpp
+++ b/libs/scheduling/test/random_pool_test.cpp
@@ -105,8 +105,8 @@
         pool.set_faulty(static_cast<int>(random() % workers));
     if (random() % 5 == 0)
         pool.set_failing(job_id("j0"));
-    // A share of the workers changes its size; drawn apart, as the seeds
-    // of earlier faults keep their runs.
+    // Later kinds of faults have their own generators, so that the seeds of
+    // earlier ones keep their draws.
     std::mt19937_64 sizes(seed + 1);
     for (int i = 0; i < 2 && !no_outages && sizes() % 3 == 0; ++i) {
         auto index = static_cast<int>(sizes() % workers);
