--- a/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/zone_scheduler.hpp
@@ -30,8 +30,9 @@
     std::uint64_t epoch_ = 1;
     order_policy order_ = order_policy::attained_service;
     placement_policy placement_ = placement_policy::best_fit;
-    /// A worker stops its tasks when its reports stay unanswered for this
-    /// long, and is considered lost after this time plus a margin.
+    /// A worker stops its tasks this long after it sent the newest report that
+    /// was answered, and is considered lost this time plus a margin after its
+    /// newest report was received.
     duration lease_ = std::chrono::seconds(10);
     /// Collect reports for one lease before starting any job, because tasks
     /// of an earlier scheduler may still be running.
@@ -99,9 +100,10 @@
     [[nodiscard]] scheduling_actions handle(const scheduling_event& event,
                                             instant now);
 
-    /// Commands that the worker has not yet acknowledged, oldest first.
+    /// Commands that this incarnation of the worker has not yet acknowledged,
+    /// oldest first.
     [[nodiscard]] const std::deque<worker_command>&
-    outbox(const worker_name& worker) const;
+    outbox(const worker_name& worker, const std::string& incarnation) const;
 
     [[nodiscard]] std::vector<team_view> teams(instant now) const;
     [[nodiscard]] std::optional<job_view> job(const job_id& id,
@@ -138,6 +140,14 @@
         std::uint64_t command_ = 0;
     };
 
+    /// Process that reports under the name of a live worker and has not yet
+    /// been confirmed as its next incarnation.
+    struct newcomer
+    {
+        std::string incarnation_;
+        std::deque<worker_command> commands_;
+    };
+
     using action_list = scheduling_actions;
 
     // Events.
@@ -163,8 +173,14 @@
     void end_unplaceable_jobs(instant now, action_list& out);
 
     // Workers.
+    [[nodiscard]] bool is_confirmed(worker_index index,
+                                    const worker_report& report);
     void update_worker(worker_index index, const worker_report& report,
                        instant now, action_list& out);
+    void resize_worker(worker_index index, const worker_info& info, instant now,
+                       action_list& out);
+    void stop_gangs_beyond(worker_index index, const worker_info& info,
+                           instant now, action_list& out);
     void handle_worker_loss(worker_index index, bool has_restarted, instant now,
                             action_list& out);
     void withdraw_guarantees(worker_index index, action_list& out);
@@ -172,7 +188,8 @@
                               instant now, action_list& out);
     void handle_unknown_parts(worker_index index, const worker_report& report,
                               instant now, action_list& out);
-    bool adopt_part(worker_index index, const reported_part& part, instant now);
+    bool adopt_part(worker_index index, const reported_part& part, instant now,
+                    action_list& out);
     void clear_orphans(worker_index index, const worker_report& report);
     void forget_orphans(worker_index index);
     void expire_leases(instant now, action_list& out);
@@ -251,6 +268,7 @@
     std::set<gang_key> gangs_in_transition_;
     std::unordered_map<job_id, job_entry> jobs_;
     std::map<worker_index, std::map<gang_key, orphan>> orphans_;
+    std::map<worker_index, newcomer> newcomers_;
     std::set<std::pair<instant, worker_index>> by_report_;
     std::map<worker_index, instant> quarantine_ends_;
     bool recovery_pending_ = false;
--- a/libs/scheduling/src/zone_scheduler_workers.cpp
+++ b/libs/scheduling/src/zone_scheduler_workers.cpp
@@ -18,12 +18,47 @@
                                   action_list& out)
 {
     worker_index index = pool_.find_or_add(report.info_);
+    if (!is_confirmed(index, report))
+        return;
     update_worker(index, report, now, out);
     apply_reported_parts(index, report, now, out);
     handle_unknown_parts(index, report, now, out);
     clear_orphans(index, report);
 }
 
+// A report of another incarnation is no proof that the live one has ended: it
+// may be a late one of an earlier process, or of another writer. A process that
+// applies a command sent after its first report is alive, so the worker has
+// restarted.
+bool zone_scheduler::is_confirmed(worker_index index,
+                                  const worker_report& report)
+{
+    const pool_worker& worker = pool_.at(index);
+    if (!worker.alive_) {
+        newcomers_.erase(index);
+        return true;
+    }
+    if (worker.incarnation_ == report.incarnation_)
+        return true;
+    newcomer& item = newcomers_[index];
+    bool is_known = item.incarnation_ == report.incarnation_;
+    if (is_known && report.epoch_ == options_.epoch_ &&
+        report.applied_command_ >= item.commands_.front().number_) {
+        newcomers_.erase(index);
+        return true;
+    }
+    if (is_known)
+        return false;
+    worker_command command;
+    command.kind_ = command_kind::confirm;
+    command.epoch_ = options_.epoch_;
+    pool_.change(index, [&command](pool_worker& changed) {
+        command.number_ = ++changed.last_command_;
+    });
+    item = {report.incarnation_, {command}};
+    return false;
+}
+
 void zone_scheduler::update_worker(worker_index index,
                                    const worker_report& report, instant now,
                                    action_list& out)
@@ -31,9 +66,14 @@
     const pool_worker& worker = pool_.at(index);
     bool restarted = !worker.incarnation_.empty() &&
                      worker.incarnation_ != report.incarnation_;
-    bool changed = worker.info_ != report.info_;
-    if (worker.alive_ && (restarted || changed))
+    if (worker.alive_ && restarted)
         handle_worker_loss(index, restarted, now, out);
+    // The rack is part of a worker's identity. A worker that moves to another
+    // rack needs a new name; a changed rack is ignored.
+    worker_info info = report.info_;
+    info.rack_ = worker.info_.rack_;
+    if (worker.alive_)
+        resize_worker(index, info, now, out);
     bool could_carry_guarantees = worker.can_carry_guarantees();
     bool was_suspect = worker.suspect_;
     by_report_.erase({worker.last_report_, index});
@@ -48,11 +88,10 @@
         if (same_epoch)
             item.last_command_ =
                 std::max(item.last_command_, report.applied_command_);
-        // The rack is part of a worker's identity. A worker that moves to
-        // another rack needs a new name; a changed rack is ignored.
-        rack_name rack = item.info_.rack_;
-        item.info_ = report.info_;
-        item.info_.rack_ = rack;
+        if (!item.alive_) {
+            item.info_ = info;
+            item.resizing_ = false;
+        }
         item.incarnation_ = report.incarnation_;
         item.last_report_ = now;
         item.alive_ = true;
@@ -79,6 +118,74 @@
     pass_pending_ = pass_pending_ || was_suspect;
 }
 
+// The tasks of a live worker go on whatever it reports as its resources, so
+// smaller ones count only when the gangs beyond them are confirmed as ended.
+void zone_scheduler::resize_worker(worker_index index, const worker_info& info,
+                                   instant now, action_list& out)
+{
+    const pool_worker& worker = pool_.at(index);
+    if (worker.info_ == info) {
+        pool_.change(index, [](pool_worker& item) { item.resizing_ = false; });
+        return;
+    }
+    bool is_larger = info.accelerators_ >= worker.info_.accelerators_ &&
+                     info.processors_ >= worker.info_.processors_ &&
+                     info.memory_mb_ >= worker.info_.memory_mb_;
+    if (!is_larger && (!worker.resizing_ || worker.reserved_ > 0)) {
+        pool_.change(index, [](pool_worker& item) { item.resizing_ = true; });
+        withdraw_guarantees(index, out);
+    }
+    if (!is_larger)
+        stop_gangs_beyond(index, info, now, out);
+    bool fits = worker.allocated_ + worker.orphaned_ <= info.accelerators_ &&
+                worker.processors_ <= info.processors_ &&
+                worker.memory_mb_ <= info.memory_mb_;
+    if (!is_larger && !fits)
+        return;
+    pool_.change(index, [&info](pool_worker& item) {
+        item.info_ = info;
+        item.resizing_ = false;
+    });
+    ledger_dirty_ = true;
+    pass_pending_ = true;
+}
+
+// Gangs that may run only once are the last to be stopped.
+void zone_scheduler::stop_gangs_beyond(worker_index index,
+                                       const worker_info& info, instant now,
+                                       action_list& out)
+{
+    std::set<std::pair<bool, gang_key>> gangs;
+    for (const gang_key& key : pool_.at(index).gangs_)
+        gangs.insert({gangs_.at(key).spec_.repeatable_, key});
+    resource_amount kept{pool_.at(index).orphaned_, 0, 0};
+    for (const auto& [repeatable, key] : gangs) {
+        auto found = gangs_.find(key);
+        if (found == gangs_.end() ||
+            found->second.phase_ == gang_phase::stopping)
+            continue;
+        resource_amount total = kept;
+        for (const gang_part& part : found->second.parts_) {
+            if (part.worker_ != index)
+                continue;
+            resource_amount amount =
+                gang_driver::amount_of(found->second, part);
+            total.accelerators_ += amount.accelerators_;
+            total.processors_ += amount.processors_;
+            total.memory_mb_ += amount.memory_mb_;
+        }
+        bool fits = total.accelerators_ <= info.accelerators_ &&
+                    total.processors_ <= info.processors_ &&
+                    total.memory_mb_ <= info.memory_mb_;
+        if (fits) {
+            kept = total;
+            continue;
+        }
+        stop_gang(found->second, stop_cause::part_lost, now, out);
+        update_gang(found->second, now, out);
+    }
+}
+
 // The worker restarted or its lease expired: none of its tasks runs on.
 void zone_scheduler::handle_worker_loss(worker_index index, bool has_restarted,
                                         instant now, action_list& out)
@@ -188,12 +295,14 @@
     for (const reported_part& part : report.parts_) {
         if (pool_.at(index).gangs_.contains(part.gang_))
             continue;
-        if (recovering_until_ && adopt_part(index, part, now))
+        if (recovering_until_ && adopt_part(index, part, now, out))
             continue;
         auto& known = orphans_[index];
         if (known.contains(part.gang_))
             continue;
-        int amount = part.tasks_ * part.accelerators_;
+        // All of the worker is the most that they can occupy.
+        int amount = std::min(part.tasks_ * part.accelerators_,
+                              pool_.at(index).info_.accelerators_);
         pool_.change(index,
                      [amount](pool_worker& item) { item.orphaned_ += amount; });
         known[part.gang_] = {amount,
@@ -203,7 +312,7 @@
 
 // Adopts a part that an earlier scheduler of the zone started.
 bool zone_scheduler::adopt_part(worker_index index, const reported_part& part,
-                                instant now)
+                                instant now, action_list& out)
 {
     auto found = jobs_.find(part.gang_.job_);
     if (found == jobs_.end())
@@ -211,6 +320,7 @@
     job_entry& job = found->second;
     bool matches = !queue_.contains(part.gang_.job_) &&
                    job.record_.attempt_ == part.gang_.attempt_ &&
+                   part.tasks_ <= job.record_.spec_.tasks_ &&
                    part.accelerators_ == job.record_.spec_.accelerators_;
     if (!matches)
         return false;
@@ -251,11 +361,22 @@
     item.started_ = item.started_ || adopted_part.phase_ != part_phase::held;
     resource_amount amount = gang_driver::amount_of(item, adopted_part);
     item.parts_.push_back(adopted_part);
+    pool_.change(index, [&](pool_worker& worker) {
+        int used = worker.occupied_ + amount.accelerators_;
+        // A worker that shrank may still run what it held before.
+        if (used > worker.info_.accelerators_) {
+            worker.info_.accelerators_ = used;
+            worker.resizing_ = true;
+        }
+    });
     pool_.allocate(index, amount, item.allocation_);
     pool_.change(index, [&](pool_worker& worker) {
         worker.occupied_ += amount.accelerators_;
         worker.gangs_.insert(item.key_);
     });
+    // Reports of the earlier epoch can overtake each other: one that does not
+    // list the part may be older than this one.
+    driver_->confirm(item, item.parts_.back(), now, out);
     return true;
 }
 
--- a/libs/scheduling/test/fake_pool.hpp
+++ b/libs/scheduling/test/fake_pool.hpp
@@ -30,6 +30,9 @@
     /// Checks all invariants after every event.
     bool check_every_event_ = true;
     duration tick_ = std::chrono::milliseconds(100);
+    /// Time until the record of a job is persisted; a final one is reported
+    /// and persisted at the same time.
+    duration write_delay_ = std::chrono::milliseconds(100);
 };
 
 /// Simulated workers around one real scheduler, in virtual time. Records what
@@ -73,6 +76,7 @@
         job.spec_ = spec;
         job.remaining_ = run_time;
         job.arrived_ = when;
+        job.persisted_.spec_ = spec;
         ++unfinished_;
         at(when, [this, spec] { handle_event(job_submitted{spec}); });
     }
@@ -88,15 +92,61 @@
         at(when, [this, index] {
             worker& item = workers_[static_cast<std::size_t>(index)];
             item.online_ = false;
-            item.parts_.clear();
+            drop_parts(item);
         });
         at(when + downtime, [this, index] {
             worker& item = workers_[static_cast<std::size_t>(index)];
+            // Crashes may overlap.
+            if (item.online_)
+                return;
             item.online_ = true;
             ++item.incarnation_;
             item.applied_ = 0;
             item.epoch_ = 0;
-            item.last_answer_ = now_;
+            item.lease_from_ = now_;
+        });
+    }
+
+    /// The worker reports other resources from then on; its tasks go on.
+    void resize(int index, int accelerators, instant when)
+    {
+        at(when, [this, index, accelerators] {
+            workers_[static_cast<std::size_t>(index)].info_.accelerators_ =
+                accelerators;
+        });
+    }
+    void move_to_rack(int index, const std::string& rack, instant when)
+    {
+        at(when, [this, index, rack] {
+            workers_[static_cast<std::size_t>(index)].info_.rack_ =
+                rack_name(rack);
+        });
+    }
+
+    /// A copy of the worker's report takes another way, through a host that
+    /// forwards it late; the worker's process need not exist any more then.
+    void delay_report(int index, instant when, duration delay)
+    {
+        at(when, [this, index, delay] {
+            const worker& item = workers_[static_cast<std::size_t>(index)];
+            if (!item.online_)
+                return;
+            open_report sent{item.incarnation_, now_, {}};
+            worker_report message = make_report(item);
+            at(now_ + delay, [this, index, message, sent] {
+                deliver_report(index, message, sent);
+            });
+        });
+    }
+
+    /// Another writer reports under the name of a worker, once.
+    void forge_report(int index, instant when)
+    {
+        at(when, [this, index] {
+            worker_report message;
+            message.info_ = workers_[static_cast<std::size_t>(index)].info_;
+            message.incarnation_ = "forged";
+            deliver_report(index, message, {});
         });
     }
 
@@ -155,6 +205,8 @@
         std::optional<instant> started_;
         std::optional<instant> ended_;
         job_record record_;
+        /// What a new scheduler reads.
+        job_record persisted_;
         int starts_ = 0;
         bool fails_ = false;
         bool crashes_ = false;
@@ -198,7 +250,17 @@
         std::uint64_t epoch_ = 0;
         std::uint64_t applied_ = 0;
         std::map<gang_key, part> parts_;
-        instant last_answer_{};
+        /// When the newest report that was answered had been sent.
+        instant lease_from_{};
+    };
+
+    /// Newest report of a worker that the scheduler received (a long poll);
+    /// its answer goes to the process that sent it.
+    struct open_report
+    {
+        int incarnation_ = 0;
+        instant sent_at_{};
+        instant open_until_{};
     };
 
     struct event
@@ -270,11 +332,12 @@
             scheduling_.wait_for_reports_ || is_replacement;
         ++scheduling_.epoch_;
         scheduler_ = std::make_unique<zone_scheduler>(scheduling_);
+        open_reports_.clear();
         scheduler_->configure(rules_, now_);
         for (const auto& [id, job] : observed_jobs_) {
             bool known = !job.record_.spec_.id_.empty();
             if (known && !is_final(job.record_.state_))
-                handle_event(job_recovered{job.record_});
+                handle_event(job_recovered{job.persisted_});
         }
     }
 
@@ -312,8 +375,10 @@
         if (job.ended_)
             throw std::logic_error("a job has ended twice");
         job.record_ = record;
-        if (!is_final(record.state_))
+        if (!is_final(record.state_)) {
+            persist(record);
             return;
+        }
         job.ended_ = now_;
         --unfinished_;
         bool ran = job.starts_ > 0;
@@ -326,13 +391,27 @@
                 "a job is completed before its tasks finish");
     }
 
-    void record_start(const gang_key& key)
+    // Writes of an earlier scheduler are rejected.
+    void persist(const job_record& record)
     {
-        observed_jobs_.at(key.job_).record_.state_ = job_state::running;
         std::uint64_t epoch = scheduling_.epoch_;
-        at(now_ + message_delay(), [this, key, epoch] {
+        at(now_ + options_.write_delay_, [this, record, epoch] {
             if (epoch == scheduling_.epoch_)
-                handle_event(start_recorded{key});
+                observed_jobs_.at(record.spec_.id_).persisted_ = record;
+        });
+    }
+
+    void record_start(const gang_key& key)
+    {
+        observed_job& job = observed_jobs_.at(key.job_);
+        job.record_.state_ = job_state::running;
+        job_record started = job.record_;
+        std::uint64_t epoch = scheduling_.epoch_;
+        at(now_ + message_delay(), [this, key, epoch, started] {
+            if (epoch != scheduling_.epoch_)
+                return;
+            observed_jobs_.at(key.job_).persisted_ = started;
+            handle_event(start_recorded{key});
         });
     }
 
@@ -343,15 +422,18 @@
             return;
         const worker_name& name =
             workers_[static_cast<std::size_t>(index)].info_.name_;
-        const auto& outbox = scheduler_->outbox(name);
+        auto found = open_reports_.find(index);
+        if (found == open_reports_.end() || found->second.open_until_ <= now_)
+            return;
+        const auto& outbox = scheduler_->outbox(
+            name, std::to_string(found->second.incarnation_));
         std::vector<worker_command> commands(outbox.begin(), outbox.end());
-        int incarnation =
-            workers_[static_cast<std::size_t>(index)].incarnation_;
-        at(now_ + message_delay(), [this, index, commands, incarnation] {
+        open_report answered = found->second;
+        at(now_ + message_delay(), [this, index, commands, answered] {
             worker& item = workers_[static_cast<std::size_t>(index)];
-            if (!item.online_ || item.incarnation_ != incarnation)
+            if (!item.online_ || item.incarnation_ != answered.incarnation_)
                 return;
-            item.last_answer_ = now_;
+            item.lease_from_ = std::max(item.lease_from_, answered.sent_at_);
             bool changed = false;
             for (const worker_command& command : commands)
                 changed = apply_command(index, command) || changed;
@@ -364,17 +446,28 @@
     {
         worker& item = workers_[static_cast<std::size_t>(index)];
         // Tasks end when reports stay unanswered for the lease.
-        if (item.online_ && now_ - item.last_answer_ >= options_.lease_)
-            item.parts_.clear();
+        if (item.online_ && is_lease_over(item))
+            drop_parts(item);
         if (item.online_)
             report(index);
         at(now_ + options_.heartbeat_,
            [this, index] { send_heartbeat(index); });
     }
 
-    void report(int index)
+    void drop_parts(worker& item)
+    {
+        for (const auto& entry : item.parts_)
+            gangs_with_loss_.insert(entry.first);
+        item.parts_.clear();
+    }
+
+    bool is_lease_over(const worker& item) const
+    {
+        return now_ - item.lease_from_ >= options_.lease_;
+    }
+
+    worker_report make_report(const worker& item) const
     {
-        worker& item = workers_[static_cast<std::size_t>(index)];
         worker_report message;
         message.info_ = item.info_;
         message.incarnation_ = std::to_string(item.incarnation_);
@@ -384,20 +477,36 @@
             message.parts_.push_back({key, worker_part.state_,
                                       worker_part.tasks_,
                                       worker_part.accelerators_});
+        return message;
+    }
+
+    void report(int index)
+    {
+        const worker& item = workers_[static_cast<std::size_t>(index)];
         if (is_message_lost(index))
             return;
         std::uint64_t number = ++report_number_;
-        at(now_ + message_delay(), [this, index, message, number] {
+        open_report sent{item.incarnation_, now_, {}};
+        worker_report message = make_report(item);
+        at(now_ + message_delay(), [this, index, message, number, sent] {
             // One connection per worker: an overtaken report is dropped.
             std::uint64_t& newest = newest_report_[index];
             if (number < newest)
                 return;
             newest = number;
-            handle_event(worker_reported{message});
-            send_commands(index);
+            deliver_report(index, message, sent);
         });
     }
 
+    void deliver_report(int index, const worker_report& message,
+                        const open_report& sent)
+    {
+        open_reports_[index] = {sent.incarnation_, sent.sent_at_,
+                                now_ + options_.heartbeat_};
+        handle_event(worker_reported{message});
+        send_commands(index);
+    }
+
     bool apply_command(int index, const worker_command& command)
     {
         worker& item = workers_[static_cast<std::size_t>(index)];
@@ -421,6 +530,7 @@
             checkpoint(item, command.gang_);
             break;
         case command_kind::throttle:
+        case command_kind::confirm:
             break;
         case command_kind::stop:
             item.parts_.erase(command.gang_);
@@ -482,6 +592,11 @@
         }
         if (!job.spec_.repeatable_ && job.starts_ > 1)
             throw std::logic_error("a job that may run once was started twice");
+        for (const worker& other : workers_) {
+            if (runs_other_attempt(other, key))
+                throw std::logic_error("two attempts of job " + key.job_.str() +
+                                       " run at the same time");
+        }
         int tasks = 0;
         for (const worker& other : workers_) {
             auto found = other.parts_.find(key);
@@ -490,17 +605,27 @@
         }
         // After a crash or a lost message, the other parts are still running
         // until they are told to stop.
-        bool worker_down =
-            std::any_of(workers_.begin(), workers_.end(),
-                        [](const worker& other) { return !other.online_; });
+        bool part_lost = gangs_with_loss_.contains(key);
         bool messages_may_be_lost =
             !partitioned_.empty() || options_.loss_percent_ > 0;
-        if (tasks < job.spec_.tasks_ && !worker_down && !messages_may_be_lost &&
+        if (tasks < job.spec_.tasks_ && !part_lost && !messages_may_be_lost &&
             !job.record_.spec_.id_.empty() &&
             job.record_.state_ != job_state::stopping)
             throw std::logic_error("a part started without the whole gang");
     }
 
+    bool runs_other_attempt(const worker& item, const gang_key& key) const
+    {
+        return item.online_ && !is_lease_over(item) &&
+               std::any_of(item.parts_.begin(), item.parts_.end(),
+                           [&key](const auto& entry) {
+                               return entry.first.job_ == key.job_ &&
+                                      entry.first != key &&
+                                      entry.second.state_ ==
+                                          part_state::running;
+                           });
+    }
+
     void finish_part(int index, const gang_key& key, std::uint64_t run)
     {
         worker& item = workers_[static_cast<std::size_t>(index)];
@@ -542,6 +667,8 @@
     std::map<job_id, observed_job> observed_jobs_;
     std::map<gang_key, duration> checkpointed_progress_;
     std::map<int, std::uint64_t> newest_report_;
+    std::map<int, open_report> open_reports_;
+    std::set<gang_key> gangs_with_loss_;
     std::set<int> partitioned_;
     std::priority_queue<event> events_;
     std::uint64_t sequence_ = 0;
--- a/libs/scheduling/test/zone_scheduler_test.cpp
+++ b/libs/scheduling/test/zone_scheduler_test.cpp
@@ -271,6 +271,200 @@
     CHECK(observed(pool, "j").starts_ == 1);
 }
 
+// Any other incarnation was taken for a restart, so the tasks of the live
+// process were lost and started elsewhere while they went on.
+TEST_CASE("a late report of an earlier incarnation ends no task", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    for (int index = 0; index < 12; ++index) {
+        pool.delay_report(index, start + 5s, 25s);
+        pool.crash(index, start + 6s, 2s);
+    }
+    for (int i = 0; i < 6; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 8, 1), 60s,
+                    start + 20s);
+    pool.run_to_end(start + 10min);
+    for (const auto& [id, job] : pool.observed_jobs()) {
+        CHECK(job.record_.state_ == job_state::completed);
+        CHECK(job.starts_ == 1);
+    }
+}
+
+// The same with one report of another writer.
+TEST_CASE("a report under the name of a live worker ends no task",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    for (int i = 0; i < 6; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 8, 1), 60s,
+                    start + 20s);
+    for (int index = 0; index < 12; ++index)
+        pool.forge_report(index, start + 30s);
+    pool.run_to_end(start + 10min);
+    for (const auto& [id, job] : pool.observed_jobs()) {
+        CHECK(job.record_.state_ == job_state::completed);
+        CHECK(job.starts_ == 1);
+    }
+}
+
+// A new scheduler took a report from before the start for the end of the gang
+// that it had adopted.
+TEST_CASE("a late report ends no task that a new scheduler has adopted",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    for (int index = 0; index < 12; ++index)
+        pool.delay_report(index, start + 5s, 20s);
+    for (int i = 0; i < 6; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 8, 1), 60s,
+                    start + 10s);
+    pool.replace_scheduler(start + 20s);
+    pool.run_to_end(start + 10min);
+    for (const auto& [id, job] : pool.observed_jobs()) {
+        CHECK(job.record_.state_ == job_state::completed);
+        CHECK(job.starts_ == 1);
+    }
+}
+
+// A new scheduler whose records are older than a start must not start the job
+// again before the tasks have been stopped or their lease is over.
+TEST_CASE("a job starts only after tasks that its record does not know of",
+          "[scheduler]")
+{
+    pool_options options;
+    options.write_delay_ = 10s;
+    options.loss_percent_ = 30;
+    options.seed_ = GENERATE(range(1, 21));
+    fake_pool pool(options, make_options(), make_configuration());
+    for (int i = 0; i < 6; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 8, 1), 60s,
+                    start + 10s);
+    pool.replace_scheduler(start + 19s);
+    pool.run_to_end(start + 30min);
+    for (const auto& [id, job] : pool.observed_jobs())
+        CHECK(job.record_.state_ == job_state::completed);
+}
+
+// A restart that is confirmed must not wait for the lease of the earlier
+// incarnation.
+TEST_CASE("the tasks of a restarted worker start again at once", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    pool.submit(make_job("j", "c", 96, 1), 60s, start + 5s);
+    pool.crash(3, start + 20s, 100ms);
+    pool.run_until(start + 24s);
+    CHECK(observed(pool, "j").starts_ == 2);
+}
+
+// The accelerators of unknown tasks were summed without a bound: the sum became
+// negative, jobs were placed beyond the worker, and an invariant ended the
+// daemon.
+TEST_CASE("a report of many unknown tasks leaves the scheduler intact",
+          "[scheduler]")
+{
+    zone_scheduler scheduler(make_options());
+    instant now = start;
+    scheduler.configure(make_configuration(), now);
+    auto handle = [&](const scheduling_event& event) {
+        now += 100ms;
+        return scheduler.handle(event, now);
+    };
+    worker_report report;
+    report.info_ = {worker_name("w0"), rack_name("r0"), 8, 64, 1 << 20};
+    report.incarnation_ = "1";
+    for (int i = 0; i < 600; ++i)
+        report.parts_.push_back({{job_id("x" + std::to_string(i)), 1},
+                                 part_state::running,
+                                 4096,
+                                 1024});
+    static_cast<void>(handle(worker_reported{report}));
+    static_cast<void>(handle(job_submitted{make_job("j", "c", 8, 1)}));
+    for (int i = 0; i < 20; ++i)
+        REQUIRE_NOTHROW(handle(scheduler_ticked{}));
+    scheduler.check_invariants();
+    CHECK(scheduler.pool().at(0).free() <= 0);
+    report.parts_.clear();
+    report.epoch_ = make_options().epoch_;
+    report.applied_command_ = 600;
+    static_cast<void>(handle(worker_reported{report}));
+    CHECK(scheduler.summary().gangs_ == 1);
+}
+
+// Other resources were taken for the end of all tasks of the worker, so their
+// jobs started elsewhere while they went on.
+TEST_CASE("a worker that reports other resources keeps its tasks",
+          "[scheduler]")
+{
+    int accelerators = GENERATE(7, 16);
+    fake_pool pool({}, make_options(), make_configuration());
+    for (int i = 0; i < 12; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 3, 1), 60s,
+                    start + 5s);
+    for (int index = 0; index < 12; ++index)
+        pool.resize(index, accelerators, start + 20s);
+    pool.run_to_end(start + 10min);
+    for (const auto& [id, job] : pool.observed_jobs()) {
+        CHECK(job.record_.state_ == job_state::completed);
+        CHECK(job.starts_ == 1);
+    }
+    CHECK(pool.scheduler().summary().accelerators_ == 12 * accelerators);
+}
+
+// A smaller worker's tasks were taken for ended before it had received their
+// stops; fake_pool throws if their jobs start elsewhere meanwhile.
+TEST_CASE("tasks that a smaller worker cannot hold end before they start "
+          "elsewhere",
+          "[scheduler]")
+{
+    pool_options options;
+    options.loss_percent_ = 30;
+    options.seed_ = GENERATE(range(1, 11));
+    fake_pool pool(options, make_options(), make_configuration());
+    for (int i = 0; i < 12; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 6, 1), 60s,
+                    start + 5s);
+    for (int index = 0; index < 6; ++index)
+        pool.resize(index, 4, start + 20s);
+    pool.run_to_end(start + 10min);
+    const worker_pool& workers = pool.scheduler().pool();
+    for (int index = 0; index < 12; ++index) {
+        auto known = workers.find(worker_name("w" + std::to_string(index)));
+        REQUIRE(known);
+        CHECK(workers.at(*known).info_.accelerators_ == (index < 6 ? 4 : 8));
+    }
+}
+
+// A new scheduler that adopted more tasks than the worker can hold broke an
+// invariant, which ended the daemon, and the next owner's in turn.
+TEST_CASE("a new scheduler adopts the tasks of a worker that shrank",
+          "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    for (int i = 0; i < 24; ++i)
+        pool.submit(make_job("j" + std::to_string(i), "c", 4, 1), 60s,
+                    start + 5s);
+    for (int index = 0; index < 12; ++index)
+        pool.resize(index, 4, start + 20s);
+    pool.replace_scheduler(start + 20s);
+    pool.run_to_end(start + 10min);
+    for (const auto& [id, job] : pool.observed_jobs())
+        CHECK(job.record_.state_ == job_state::completed);
+    CHECK(pool.scheduler().summary().accelerators_ == 12 * 4);
+}
+
+// The same with a rack, which counted as other resources in each report, so
+// that no task of the worker outlived the next one.
+TEST_CASE("a worker that reports another rack keeps its tasks", "[scheduler]")
+{
+    fake_pool pool({}, make_options(), make_configuration());
+    pool.submit(make_job("j", "c", 96, 1), 30s, start + 15s);
+    pool.move_to_rack(0, "r1", start + 5s);
+    pool.move_to_rack(1, "r1", start + 20s);
+    pool.run_to_end(start + 5min);
+    CHECK(state_of(pool, "j") == job_state::completed);
+    CHECK(observed(pool, "j").starts_ == 1);
+}
+
 TEST_CASE("a worker that fails all tasks is quarantined", "[scheduler]")
 {
     fake_pool pool({}, make_options(), make_configuration());
