--- a/libs/control/src/worker_service.cpp
+++ b/libs/control/src/worker_service.cpp
@@ -183,6 +183,8 @@
 
 void worker_service::complete_registrations(bool owns_pool, instant now)
 {
+    if (registrations_.empty())
+        return;
     auto pending = std::exchange(registrations_, {});
     for (auto& [name, item] : pending) {
         if (!owns_pool || now - item.since_ > registration_timeout)
