control: a confirmed announcement registers its worker whatever was known of it before

What callers saw: a live worker that stays out of the pool for good.

The command carries the confirmation, and the worker's numbers count anew. One delayed announcement after 5 s of silence counts as stale again: only a second, rising one shows that the numbers have started anew.

--- a/libs/control/src/announcement_balancer.cpp
+++ b/libs/control/src/announcement_balancer.cpp
@@ -16,7 +16,7 @@
 // the reading of a worker's clock by at most this much, which shortens the
 // worker's lease.
 constexpr duration batch_interval = 100ms;
-// Time without a new announcement after which any one counts as new.
+// Time without a new announcement after which numbers may start again lower.
 constexpr duration max_announcement_age = 5s;
 
 } // namespace
@@ -26,7 +26,8 @@
     return state_.workers().size() > max_workers_on_leader;
 }
 
-// A sequence number that is far too high must not silence its worker for ever.
+// A sequence number that is far too high must not silence its worker for ever;
+// one announcement that was delayed for long must not count as new.
 bool announcement_balancer::is_stale(const pool::worker_info& info,
                                      std::uint64_t sequence, instant now)
 {
@@ -34,9 +35,14 @@
     bool is_older =
         info.incarnation_ < last.incarnation_ ||
         (info.incarnation_ == last.incarnation_ && sequence <= last.sequence_);
-    if (is_older && now - last.at_ <= max_announcement_age)
+    bool is_recent = now - last.at_ <= max_announcement_age;
+    bool is_rising =
+        last.lower_sequence_ != 0 && sequence > last.lower_sequence_;
+    if (is_older && (is_recent || !is_rising)) {
+        last.lower_sequence_ = is_recent ? 0 : sequence;
         return true;
-    last = {info.incarnation_, sequence, now};
+    }
+    last = {info.incarnation_, sequence, 0, now};
     return false;
 }
 
--- a/libs/control/src/announcement_balancer.hpp
+++ b/libs/control/src/announcement_balancer.hpp
@@ -49,6 +49,8 @@
     {
         std::int64_t incarnation_ = 0;
         std::uint64_t sequence_ = 0;
+        /// A lower one that came long after it; 0 for none.
+        std::uint64_t lower_sequence_ = 0;
         instant at_{};
     };
 
--- a/libs/control/src/worker_service.cpp
+++ b/libs/control/src/worker_service.cpp
@@ -2,6 +2,7 @@
 
 #include "dandelioncrank/pool/worker_confirmation.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace dandelioncrank::control {
@@ -134,6 +135,7 @@
     case pool::confirmation::confirmed:
         log_registration(info);
         item.is_confirmed_ = true;
+        seen_workers_revision_.reset();
         owner_.replace_incarnations(info, std::get<pool::call_answer>(result),
                                     sent_at, steady_now());
         on_owner_work_();
@@ -161,7 +163,10 @@
 
 void worker_service::commit_worker(const registration& item)
 {
-    group_.enqueue(pool::put_worker{item.info_},
+    // Its numbers count from the confirmed incarnation on.
+    if (item.is_confirmed_)
+        balancer_.reset_sequence(item.info_.name_);
+    group_.enqueue(pool::put_worker{item.info_, item.is_confirmed_},
                    [this, item](commit_result end, pool::pool_reply reply) {
                        bool is_registered = end == commit_result::committed &&
                                             reply == pool::pool_reply::applied;
@@ -183,8 +188,17 @@
 
 void worker_service::complete_registrations(bool owns_pool, instant now)
 {
-    if (registrations_.empty())
+    // Predecessors end with a change of the workers.
+    std::uint64_t revision = state().workers_revision();
+    bool has_timed_out = std::any_of(
+        registrations_.begin(), registrations_.end(), [now](const auto& item) {
+            return now - item.second.since_ > registration_timeout;
+        });
+    bool is_due =
+        !owns_pool || has_timed_out || revision != seen_workers_revision_;
+    if (registrations_.empty() || !is_due)
         return;
+    seen_workers_revision_ = revision;
     auto pending = std::exchange(registrations_, {});
     for (auto& [name, item] : pending) {
         if (!owns_pool || now - item.since_ > registration_timeout)
--- a/libs/control/src/worker_service.hpp
+++ b/libs/control/src/worker_service.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,8 @@
     /// Announcements that wait for their confirmation, or for the end of the
     /// incarnations that they replace.
     std::map<worker_name, registration> registrations_;
+    /// Revision of the workers for which the registrations were last checked.
+    std::optional<std::uint64_t> seen_workers_revision_;
     /// Removals that wait for the end of the incarnation of a worker.
     std::map<std::pair<worker_name, std::int64_t>,
              std::vector<response_handler>>
--- a/libs/control/test/announcement_balancer_test.cpp
+++ b/libs/control/test/announcement_balancer_test.cpp
@@ -104,8 +104,12 @@
     pool::worker_info info = make_worker(1);
     CHECK(!balancer.is_stale(info, 1'000'000'000, start));
     CHECK(balancer.is_stale(info, 7, start + 4s));
-    CHECK(!balancer.is_stale(info, 8, start + 6s));
+    // One that was merely delayed does not come with a second one.
+    CHECK(balancer.is_stale(info, 8, start + 6s));
     CHECK(balancer.is_stale(info, 8, start + 7s));
+    CHECK(!balancer.is_stale(info, 9, start + 7500ms));
+    CHECK(balancer.is_stale(info, 9, start + 8s));
+    CHECK(!balancer.is_stale(info, 10, start + 9s));
 }
 
 TEST_CASE("announcements are relayed in batches", "[announcement_balancer]")
