pool, http: only a refused connection says that a worker that leaves has ended its runs

The runs of a worker that leaves were given up at once then, while they may go on. The socket now says whether the peer's host has refused the connection, and only that counts. Test: a call that was not sent for another reason removes nothing.

--- a/libs/http/include/dandelioncrank/http/client_connection.hpp
+++ b/libs/http/include/dandelioncrank/http/client_connection.hpp
@@ -20,6 +20,8 @@
     std::string reason_;
     /// Whether the request timeout expired, as opposed to a connection error.
     bool timed_out_ = false;
+    /// Whether the endpoint's host has refused the connection.
+    bool was_refused_ = false;
 };
 
 /// The complete response arrived.
--- a/libs/http/include/dandelioncrank/http/tcp_socket.hpp
+++ b/libs/http/include/dandelioncrank/http/tcp_socket.hpp
@@ -42,6 +42,8 @@
     [[nodiscard]] bool is_open() const { return descriptor_ >= 0; }
     [[nodiscard]] bool is_connected() const { return connected_; }
     [[nodiscard]] bool input_ended() const { return input_ended_; }
+    /// Whether the peer's host has refused the connection.
+    [[nodiscard]] bool was_refused() const { return refused_; }
     [[nodiscard]] std::size_t unsent_bytes() const { return output_.size(); }
     /// Total number of bytes accepted by the kernel.
     [[nodiscard]] std::uint64_t sent_bytes() const { return sent_bytes_; }
@@ -70,6 +72,7 @@
 
     int descriptor_ = -1;
     bool connected_ = false;
+    bool refused_ = false;
     bool reading_ = true;
     bool input_ended_ = false;
     bool shutdown_requested_ = false;
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -80,7 +80,7 @@
     if (!in_flight_)
         return;
     if (sent_bytes == 0)
-        finish(request_not_sent{reason, timed_out});
+        finish(request_not_sent{reason, timed_out, socket_.was_refused()});
     else
         finish(request_unanswered{reason, timed_out});
 }
--- a/libs/pool/include/dandelioncrank/pool/worker_calls.hpp
+++ b/libs/pool/include/dandelioncrank/pool/worker_calls.hpp
@@ -101,6 +101,8 @@
     bool certainly_not_sent_ = false;
     /// The connection was closed or refused; otherwise there was silence.
     bool was_closed_ = false;
+    /// The worker's host has refused the connection: no process listens there.
+    bool was_refused_ = false;
 };
 
 using call_result = std::variant<call_answer, call_lost>;
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -669,8 +669,8 @@
                  "worker_contacts_lost"});
     }
     // A retiring worker that refuses connections has ended its runs.
-    bool is_refused = not_sent && lost.was_closed_;
-    is_unreachable_ = is_unreachable_ || (retire_deadline_ && is_refused);
+    is_unreachable_ =
+        is_unreachable_ || (retire_deadline_ && lost.was_refused_);
     auto pause = timing_.retry_delay_ * std::min(lost_calls_, 4);
     if (std::holds_alternative<hold_call>(call.operation_)) {
         acked_cursor_ = 0;
--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -161,13 +161,14 @@
     REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
     auto stop = owner_fixture::filter<stop_call>(pool.advance(10ms));
     REQUIRE(stop.size() == 1);
-    pool.owner_.handle_result(stop[0].id_, call_lost{true, true}, pool.now_);
+    pool.owner_.handle_result(stop[0].id_, call_lost{true, true, true},
+                              pool.now_);
     pool.advance(1ms);
     CHECK(pool.state_.workers().empty());
 }
 
-// A call that could not be sent, for want of a descriptor here or because the
-// connection was not accepted in time, says nothing of the worker (issue 31).
+// A call that could not be sent, for want of a descriptor here, without a route
+// or because its connection was reset, says nothing of the worker (issue 31).
 TEST_CASE("a retiring worker is not removed by a call that was not sent",
           "[pool_owner]")
 {
@@ -176,7 +177,9 @@
     REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
     auto stop = owner_fixture::filter<stop_call>(pool.advance(10ms));
     REQUIRE(stop.size() == 1);
-    pool.owner_.handle_result(stop[0].id_, call_lost{true, false}, pool.now_);
+    bool was_closed = GENERATE(false, true);
+    pool.owner_.handle_result(stop[0].id_, call_lost{true, was_closed},
+                              pool.now_);
     pool.advance(1ms);
     CHECK(!pool.state_.runs_on(pool_fixture::name_of(0)).empty());
 }
