pool: calls to a restarted worker have pauses, and what it cannot tell ends with its lease

Leases without an answer are remembered by worker, and another incarnation's runs are given up only after those. - A listing that is not whole counted as clean after a restart. - A 421 from an address that the worker has left ended its incarnation.

--- a/libs/pool/src/late_starts.cpp
+++ b/libs/pool/src/late_starts.cpp
@@ -13,6 +13,35 @@
 
 } // namespace
 
+duration late_starts::max_delay()
+{
+    return max_call_delay;
+}
+
+void late_starts::clear()
+{
+    entries_.clear();
+    leases_.clear();
+}
+
+void late_starts::add_lease(const worker_name& worker, std::int64_t incarnation,
+                            instant now)
+{
+    leases_[worker] = {incarnation, now};
+    if (leases_.size() > max_entries)
+        leases_.erase(leases_.begin());
+}
+
+std::optional<instant>
+late_starts::last_lease_lost_at(const worker_name& worker,
+                                std::int64_t incarnation) const
+{
+    auto found = leases_.find(worker);
+    if (found == leases_.end() || found->second.incarnation_ == incarnation)
+        return std::nullopt;
+    return found->second.lost_at_;
+}
+
 void late_starts::add(const worker_name& worker, const run_ref& run,
                       instant now)
 {
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -36,6 +36,8 @@
 // Age of an announcement up to which an unguarded worker gets starts: two
 // intervals between announcements.
 constexpr duration max_capacity_age = 3s;
+// How long the listings of a worker may leave rows out: some pages of outcomes.
+constexpr duration max_incomplete_time = 2s;
 // Interval at which a new incarnation is asked for runs that are being stopped.
 constexpr duration successor_hold_interval = 50ms;
 // Maximum number of runs named in a log message.
@@ -51,10 +53,16 @@
       worker_(std::move(worker)), incarnation_(incarnation), term_(term),
       clock_request_at_(now + clock_wait), last_contact_at_(now)
 {
-    unknown_runs_ = late_starts_.runs_for(worker_, now);
+    for (const run_ref& run : late_starts_.runs_for(worker_, now))
+        unknown_runs_.emplace(run, now);
     lease_end_ = now + longest_lease_time();
     if (is_inherited)
         lease_end_ += timing_.replaced_owner_time_;
+    // A lease of a call without an answer counts from its late arrival, since
+    // its end goes by the clock of another incarnation.
+    if (auto lost_at = late_starts_.last_lease_lost_at(worker_, incarnation_))
+        lease_end_ = std::max(lease_end_, *lost_at + late_starts::max_delay() +
+                                              longest_lease_time());
     for (const run_ref& run : state_.runs_on(worker_)) {
         run_entry entry;
         entry.phase_ = is_inherited ? run_phase::inherited : run_phase::unsent;
@@ -77,7 +85,8 @@
     last_contact_at_ = now;
     announced_at_ = now;
     // Without runs, nothing else would ask it for what has ended there.
-    hold_requested_ = hold_requested_ || has_unread_outcomes_;
+    hold_requested_ =
+        hold_requested_ || has_unread_outcomes_ || incomplete_since_;
     bool is_first = !clock_ms_;
     clock_ms_ = clock_ms;
     clock_read_at_ = now;
@@ -115,7 +124,12 @@
                    now - last_failure_at_ > timing_.quarantine_;
     return is_responsive && is_capacity_known(now) && trusted && clock_ms_ &&
            now >= backoff_until_ && !retire_deadline_ && !is_replaced_ &&
-           !is_fenced_;
+           !is_fenced_ && can_list_runs(now);
+}
+
+bool pool_owner::worker_session::can_list_runs(instant now) const
+{
+    return !incomplete_since_ || now - *incomplete_since_ < max_incomplete_time;
 }
 
 // A worker that guards its capacity rejects what does not fit. For others, the
@@ -204,9 +218,14 @@
     }
     for (auto& [run, entry] : runs_)
         advance_run(run, entry, now, next_call, out);
-    for (const run_ref& run : unknown_runs_)
-        send(stop_call{run}, timing_.call_timeout_, now, next_call, out);
-    unknown_runs_.clear();
+    for (auto it = unknown_runs_.begin(); it != unknown_runs_.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        send(stop_call{it->first}, timing_.call_timeout_, now, next_call, out);
+        it = unknown_runs_.erase(it);
+    }
     advance_hold(now, next_call, out);
 }
 
@@ -358,6 +377,10 @@
     is_replaced_ = true;
     successor_ = successor;
     is_successor_clean_ = !successor;
+    for (const auto& item : calls_) {
+        if (grants_lease(item.second))
+            late_starts_.add_lease(worker_, incarnation_, now);
+    }
     // Answers that are still under way may come from an earlier incarnation.
     calls_.clear();
     hold_call_id_.reset();
@@ -514,7 +537,8 @@
         call.wait_ = timing_.hold_wait_;
     // A lease that may never arrive would postpone the time at which the runs
     // have certainly ended.
-    bool may_renew = !is_fenced_ && !retire_deadline_;
+    // What a worker cannot list ends with its lease.
+    bool may_renew = !is_fenced_ && !retire_deadline_ && can_list_runs(now);
     if (has_runs && lost_calls_ == 0 && clock_ms_ && may_renew)
         call.lease_until_ms_ = grant_lease(now);
     hold_requested_ = false;
@@ -545,7 +569,7 @@
     instant now, std::uint64_t& next_call, owner_output& out)
 {
     std::uint64_t id = next_call++;
-    calls_.emplace(id, open_call{what, now});
+    calls_.emplace(id, open_call{what, info().address_, now});
     out.calls_.push_back({id, worker_, incarnation_, info().address_, term_,
                           std::move(what), timeout});
     return id;
@@ -577,6 +601,9 @@
         answer.verdict_ == call_verdict::other_incarnation ||
         (answer.incarnation_ != 0 && answer.incarnation_ != incarnation_);
     if (is_other) {
+        // The worker may have left the address that was called.
+        if (call.address_ != address())
+            return;
         if (answer.verdict_ == call_verdict::other_incarnation)
             replace(std::nullopt, "another process at its address", now);
         else
@@ -584,9 +611,8 @@
         return;
     }
     if (is_replaced_) {
-        const auto* stop = std::get_if<stop_call>(&call.operation_);
-        if (stop != nullptr && answer.verdict_ == call_verdict::done)
-            handle_stop_answer(*stop, now);
+        if (const auto* stop = std::get_if<stop_call>(&call.operation_))
+            handle_stop_result(*stop, answer, now);
         return;
     }
     lost_calls_ = 0;
@@ -600,8 +626,7 @@
                               handle_start_answer(item, answer, now, out);
                           },
                           [&](const stop_call& item) {
-                              if (answer.verdict_ == call_verdict::done)
-                                  handle_stop_answer(item, now);
+                              handle_stop_result(item, answer, now);
                           },
                           [&](const hold_call& item) {
                               handle_hold_answer(item, answer, call.sent_at_,
@@ -625,13 +650,14 @@
     const call_answer& answer, instant sent_at, instant now, owner_output& out)
 {
     std::set<run_ref> running;
-    is_successor_clean_ = true;
+    is_successor_clean_ =
+        answer.is_complete_ && answer.verdict_ == call_verdict::done;
     for (const reported_run& row : answer.running_) {
         running.insert(row.run_);
         if (runs_.contains(row.run_))
             continue;
         is_successor_clean_ = false;
-        unknown_runs_.insert(row.run_);
+        unknown_runs_.emplace(row.run_, now);
     }
     std::map<run_ref, run_outcome> ended;
     for (const reported_outcome& item : answer.ended_)
@@ -651,6 +677,14 @@
     }
 }
 
+bool pool_owner::worker_session::grants_lease(const open_call& call)
+{
+    const auto* hold = std::get_if<hold_call>(&call.operation_);
+    return hold != nullptr
+               ? hold->lease_until_ms_.has_value()
+               : std::holds_alternative<start_call>(call.operation_);
+}
+
 void pool_owner::worker_session::handle_lost_call(const open_call& call,
                                                   const call_lost& lost,
                                                   instant now,
@@ -672,6 +706,8 @@
     is_unreachable_ =
         is_unreachable_ || (retire_deadline_ && lost.was_refused_);
     auto pause = timing_.retry_delay_ * std::min(lost_calls_, 4);
+    if (!not_sent && grants_lease(call))
+        late_starts_.add_lease(worker_, incarnation_, now);
     if (std::holds_alternative<hold_call>(call.operation_)) {
         acked_cursor_ = 0;
         next_hold_at_ = now + pause;
@@ -690,7 +726,7 @@
     auto found = runs_.find(*run);
     if (found == runs_.end()) {
         if (late_starts_.runs_for(worker_, now).contains(*run))
-            unknown_runs_.insert(*run);
+            unknown_runs_.emplace(*run, now + pause);
         return;
     }
     found->second.next_attempt_at_ = now + pause;
@@ -746,6 +782,19 @@
     entry.phase_ = run_phase::unsent;
 }
 
+void pool_owner::worker_session::handle_stop_result(const stop_call& call,
+                                                    const call_answer& answer,
+                                                    instant now)
+{
+    if (answer.verdict_ == call_verdict::done) {
+        handle_stop_answer(call, now);
+        return;
+    }
+    auto found = runs_.find(call.run_);
+    if (found != runs_.end())
+        found->second.next_attempt_at_ = now + timing_.call_timeout_;
+}
+
 void pool_owner::worker_session::handle_stop_answer(const stop_call& call,
                                                     instant now)
 {
@@ -835,13 +884,17 @@
                                        " after its end; stopping it",
                                    "runs_listed_after_end"});
     }
-    unknown_runs_.insert(unknown.begin(), unknown.end());
+    for (const run_ref& run : unknown)
+        unknown_runs_.emplace(run, now);
     listed_unknown_ = std::move(unknown);
     for (const reported_outcome& item : answer.ended_)
         reported.insert(item.run_);
     // What is missing in an incomplete listing may still be there.
-    if (!answer.is_complete_)
+    if (!answer.is_complete_) {
+        incomplete_since_ = incomplete_since_.value_or(now);
         return;
+    }
+    incomplete_since_.reset();
     for (auto& [run, entry] : runs_) {
         if (reported.contains(run))
             continue;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -118,6 +118,7 @@
     struct open_call
     {
         std::variant<start_call, stop_call, hold_call> operation_;
+        std::string address_;
         instant sent_at_{};
     };
 
@@ -137,7 +138,10 @@
                           instant now, owner_output& out);
     void handle_start_answer(const start_call& call, const call_answer& answer,
                              instant now, owner_output& out);
+    void handle_stop_result(const stop_call& call, const call_answer& answer,
+                            instant now);
     void handle_stop_answer(const stop_call& call, instant now);
+    [[nodiscard]] static bool grants_lease(const open_call& call);
     void handle_hold_answer(const hold_call& call, const call_answer& answer,
                             instant sent_at, instant now, owner_output& out);
     void reconcile(const call_answer& answer, instant sent_at, instant now,
@@ -159,6 +163,8 @@
     [[nodiscard]] duration age_of(const run_entry& entry) const;
     /// Whether starts cannot exceed a capacity that has changed meanwhile.
     [[nodiscard]] bool is_capacity_known(instant now) const;
+    /// Whether its listings have been whole, or not for long.
+    [[nodiscard]] bool can_list_runs(instant now) const;
     [[nodiscard]] std::int64_t clock_at(instant now) const;
     [[nodiscard]] std::int64_t grant_lease(instant now);
     /// Time after which any lease of the worker has ended by this host's clock.
@@ -201,8 +207,9 @@
     std::set<job_id> failed_jobs_;
     instant last_failure_at_{};
     std::map<run_ref, run_entry> runs_;
-    /// Listed runs that the state does not hold, to be stopped.
-    std::set<run_ref> unknown_runs_;
+    /// Runs that the state does not hold and that are to be stopped, with the
+    /// time of the next attempt.
+    std::map<run_ref, instant> unknown_runs_;
     /// Those of the last listing.
     std::set<run_ref> listed_unknown_;
     std::uint64_t runs_revision_ = 0;
@@ -211,6 +218,8 @@
     bool hold_requested_ = false;
     /// Runs have lapsed whose outcomes the worker may still report.
     bool has_unread_outcomes_ = false;
+    /// Since when listings are not complete.
+    std::optional<instant> incomplete_since_;
     instant next_hold_at_{};
     std::uint64_t acked_cursor_ = 0;
     /// Set while the worker retires: until when it is to report outcomes.
--- a/libs/pool/test/worker_restart_test.cpp
+++ b/libs/pool/test/worker_restart_test.cpp
@@ -265,3 +265,118 @@
     }
     CHECK(pool.state_.runs_on(pool_fixture::name_of(0)).empty());
 }
+
+// Stops for late starts went out without a pause to a worker that had crashed
+// again: 300 a second in a trial with three runs (issue 31).
+TEST_CASE("stops without an answer are repeated at intervals",
+          "[worker_restart]")
+{
+    restarted_worker pool;
+    worker_info info = pool.state_.worker_at(pool_fixture::name_of(0)).info_;
+    info.incarnation_ = 3;
+    for (int i = 0; i < 4; ++i)
+        (void)pool.answer_all();
+    REQUIRE(pool.state_.workers().empty());
+    pool.state_.apply(put_worker{info});
+    pool.owner_.state_changed();
+    pool.owner_.add_worker(pool_fixture::name_of(0), pool.now_);
+    std::size_t stops = 0;
+    for (int i = 0; i < 100; ++i) {
+        std::vector<worker_call> calls = pool.advance(10ms);
+        stops += owner_fixture::filter<stop_call>(calls).size();
+        for (const worker_call& call : calls)
+            pool.owner_.handle_result(call.id_, call_lost{true, true, true},
+                                      pool.now_);
+    }
+    CHECK(stops > 0);
+    CHECK(stops <= 10);
+}
+
+// The same for a worker that answers otherwise than done.
+TEST_CASE("refused stops are repeated at intervals", "[worker_restart]")
+{
+    restarted_worker pool;
+    call_answer unhealthy;
+    unhealthy.verdict_ = call_verdict::unhealthy;
+    std::size_t stops = 0;
+    for (int i = 0; i < 100; ++i) {
+        for (const worker_call& call :
+             owner_fixture::filter<stop_call>(pool.advance(10ms))) {
+            ++stops;
+            pool.owner_.handle_result(call.id_, unhealthy, pool.now_);
+        }
+    }
+    CHECK(stops > 0);
+    CHECK(stops <= 5);
+}
+
+// An answer from an address that the worker has left says nothing of it.
+TEST_CASE("another worker at an earlier address ends no incarnation",
+          "[worker_restart]")
+{
+    owner_fixture pool;
+    worker_call hold =
+        pool.start_run_on_worker(pool_fixture::make_step(1, 1, false));
+    worker_info moved = pool.state_.worker_at(pool_fixture::name_of(0)).info_;
+    moved.address_ = "10.0.0.9:1";
+    pool.state_.apply(put_worker{moved, true});
+    pool.owner_.state_changed();
+    call_answer other;
+    other.verdict_ = call_verdict::other_incarnation;
+    pool.owner_.handle_result(hold.id_, other, pool.now_);
+    for (int i = 0; i < 5; ++i)
+        pool.advance(10ms);
+    CHECK(!pool.state_.runs_on(pool_fixture::name_of(0)).empty());
+}
+
+// A worker with one row that can never be read kept its leases, and a run that
+// it does not list never ended.
+TEST_CASE("the lease of a worker that cannot list its runs is not renewed",
+          "[worker_restart]")
+{
+    owner_fixture pool;
+    worker_call hold =
+        pool.start_run_on_worker(pool_fixture::make_step(1, 1, false));
+    call_answer incomplete;
+    incomplete.is_complete_ = false;
+    pool.answer(hold, incomplete);
+    for (int i = 0; i < 120; ++i) {
+        for (const worker_call& call : pool.advance(100ms))
+            pool.answer(call, incomplete);
+    }
+    // It gets no work until it lists its runs again.
+    CHECK(pool.state_.runs_on(pool_fixture::name_of(0)).empty());
+}
+
+// A lease by the clock of an earlier incarnation that arrives late lasts the
+// longest lease from then on, so that the run outlived its end as lapsed.
+TEST_CASE("a lease without an answer may last after a restart",
+          "[worker_restart]")
+{
+    restarted_worker pool;
+    worker_info info = pool.state_.worker_at(pool_fixture::name_of(0)).info_;
+    info.incarnation_ = 3;
+    for (int i = 0; i < 4; ++i)
+        (void)pool.answer_all();
+    REQUIRE(pool.state_.workers().empty());
+    pool.state_.apply(put_worker{info});
+    pool.owner_.state_changed();
+    pool.owner_.add_worker(pool_fixture::name_of(0), pool.now_);
+    pool.owner_.record_announcement(pool_fixture::name_of(0), 3, pool.clock(),
+                                    pool.now_);
+    for (int i = 0; i < 40; ++i) {
+        for (const worker_call& call : pool.advance(10ms))
+            pool.owner_.handle_result(call.id_, {}, pool.now_);
+    }
+    job_id job = *pool.state_.active_jobs().begin();
+    REQUIRE(!pool.state_.runs_on(pool_fixture::name_of(0)).empty());
+    instant cut_at = pool.now_;
+    while (!pool.state_.runs_on(pool_fixture::name_of(0)).empty()) {
+        for (const worker_call& call : pool.advance(100ms))
+            pool.drop(call);
+        REQUIRE(pool.now_ < cut_at + 30s);
+    }
+    // The late call and the longest lease.
+    CHECK(pool.now_ - cut_at > 15s);
+    CHECK(pool.state_.find_job(job) != nullptr);
+}
