--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -63,7 +63,7 @@
     std::vector<owner_event> events_;
 };
 
-class late_starts;
+class unanswered_calls;
 class loss_monitor;
 
 /// Manages a pool of workers during one term: plans placements, sends start
@@ -171,7 +171,7 @@
     std::map<step_key, clearing> clearings_;
     std::map<step_key, wait_entry> waits_;
     std::unique_ptr<loss_monitor> losses_;
-    std::unique_ptr<late_starts> late_starts_;
+    std::unique_ptr<unanswered_calls> unanswered_calls_;
     /// When tasks whose runs have lapsed repeatedly may start again.
     std::map<task_ref, instant> restart_at_;
     std::uint64_t seen_notices_ = 0;
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -1,7 +1,7 @@
 #include "dandelioncrank/pool/pool_owner.hpp"
 
-#include "late_starts.hpp"
 #include "loss_monitor.hpp"
+#include "unanswered_calls.hpp"
 #include "worker_session.hpp"
 
 #include <algorithm>
@@ -96,7 +96,7 @@
 
 pool_owner::pool_owner(const pool_state& state, owner_timing timing)
     : state_(state), timing_(timing), losses_(make_loss_monitor()),
-      late_starts_(std::make_unique<late_starts>())
+      unanswered_calls_(std::make_unique<unanswered_calls>())
 {
 }
 
@@ -133,7 +133,7 @@
     if (is_inherited)
         clock_wait += sessions_.size() * clock_request_spacing;
     sessions_[worker] = std::make_unique<worker_session>(
-        state_, timing_, *late_starts_, worker, incarnation, term_, now,
+        state_, timing_, *unanswered_calls_, worker, incarnation, term_, now,
         is_inherited, clock_wait);
     due_.insert(worker);
 }
@@ -170,7 +170,7 @@
     clearings_.clear();
     waits_.clear();
     restart_at_.clear();
-    late_starts_->clear();
+    unanswered_calls_->clear();
     starts_pending_ = false;
     output_ = {};
 }
--- a/libs/pool/src/late_starts.cpp
+++ b/libs/pool/src/unanswered_calls.cpp
@@ -1,4 +1,4 @@
-#include "late_starts.hpp"
+#include "unanswered_calls.hpp"
 
 namespace dandelioncrank::pool {
 
@@ -13,19 +13,19 @@
 
 } // namespace
 
-duration late_starts::max_delay()
+duration unanswered_calls::max_delay()
 {
     return max_call_delay;
 }
 
-void late_starts::clear()
+void unanswered_calls::clear()
 {
     entries_.clear();
     leases_.clear();
 }
 
-void late_starts::add_lease(const worker_name& worker, std::int64_t incarnation,
-                            instant now)
+void unanswered_calls::add_lease(const worker_name& worker,
+                                 std::int64_t incarnation, instant now)
 {
     leases_[worker] = {incarnation, now};
     if (leases_.size() > max_entries)
@@ -33,8 +33,8 @@
 }
 
 std::optional<instant>
-late_starts::last_lease_lost_at(const worker_name& worker,
-                                std::int64_t incarnation) const
+unanswered_calls::last_lease_lost_at(const worker_name& worker,
+                                     std::int64_t incarnation) const
 {
     auto found = leases_.find(worker);
     if (found == leases_.end() || found->second.incarnation_ == incarnation)
@@ -42,15 +42,16 @@
     return found->second.lost_at_;
 }
 
-void late_starts::add(const worker_name& worker, const run_ref& run,
-                      instant now)
+void unanswered_calls::add_start(const worker_name& worker, const run_ref& run,
+                                 instant now)
 {
     entries_.push_back({worker, run, now});
     if (entries_.size() > max_entries)
         entries_.pop_front();
 }
 
-std::set<run_ref> late_starts::runs_for(const worker_name& worker, instant now)
+std::set<run_ref> unanswered_calls::starts_for(const worker_name& worker,
+                                               instant now)
 {
     while (!entries_.empty() && now - entries_.front().since_ > max_call_delay)
         entries_.pop_front();
--- a/libs/pool/src/late_starts.hpp
+++ b/libs/pool/src/unanswered_calls.hpp
@@ -11,19 +11,19 @@
 
 /// Starts and leases that got no answer and may still be carried out, by
 /// whichever incarnation has their worker's name then.
-class late_starts
+class unanswered_calls
 {
   public:
     /// How late a call without an answer may be carried out.
     [[nodiscard]] static duration max_delay();
 
-    void add(const worker_name& worker, const run_ref& run, instant now);
+    void add_start(const worker_name& worker, const run_ref& run, instant now);
     /// Records a call that grants a lease by the clock of an incarnation.
     void add_lease(const worker_name& worker, std::int64_t incarnation,
                    instant now);
     /// Returns the runs whose starts may still be carried out by a worker.
-    [[nodiscard]] std::set<run_ref> runs_for(const worker_name& worker,
-                                             instant now);
+    [[nodiscard]] std::set<run_ref> starts_for(const worker_name& worker,
+                                               instant now);
     /// When a lease by the clock of another incarnation was last granted to a
     /// worker without an answer.
     [[nodiscard]] std::optional<instant>
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -18,8 +18,6 @@
 // How long a worker gets no new work after it refused a start for lack of
 // resources or as unhealthy.
 constexpr duration refusal_backoff = 1s;
-// Uncommitted proposals are repeated after this time.
-constexpr duration proposal_retry_time = 400ms;
 // Hold calls to a busy worker follow each other within the maximum hold wait; a
 // longer gap than this means that some were lost.
 constexpr duration max_hold_gap = 3s;
@@ -38,31 +36,31 @@
 constexpr duration max_capacity_age = 3s;
 // How long the listings of a worker may leave rows out: some pages of outcomes.
 constexpr duration max_incomplete_time = 2s;
-// Interval at which a new incarnation is asked for runs that are being stopped.
-constexpr duration successor_hold_interval = 50ms;
 // Maximum number of runs named in a log message.
 constexpr std::size_t max_logged_runs = 8;
 
 } // namespace
 
 pool_owner::worker_session::worker_session(
-    const pool_state& state, const owner_timing& timing, late_starts& late,
-    worker_name worker, std::int64_t incarnation, std::uint64_t term,
-    instant now, bool is_inherited, duration clock_wait)
-    : state_(state), timing_(timing), late_starts_(late),
+    const pool_state& state, const owner_timing& timing,
+    unanswered_calls& unanswered, worker_name worker, std::int64_t incarnation,
+    std::uint64_t term, instant now, bool is_inherited, duration clock_wait)
+    : state_(state), timing_(timing), unanswered_calls_(unanswered),
       worker_(std::move(worker)), incarnation_(incarnation), term_(term),
       clock_request_at_(now + clock_wait), last_contact_at_(now)
 {
-    for (const run_ref& run : late_starts_.runs_for(worker_, now))
+    for (const run_ref& run : unanswered_calls_.starts_for(worker_, now))
         unknown_runs_.emplace(run, now);
     lease_end_ = now + longest_lease_time();
     if (is_inherited)
         lease_end_ += timing_.replaced_owner_time_;
     // A lease of a call without an answer counts from its late arrival, since
     // its end goes by the clock of another incarnation.
-    if (auto lost_at = late_starts_.last_lease_lost_at(worker_, incarnation_))
-        lease_end_ = std::max(lease_end_, *lost_at + late_starts::max_delay() +
-                                              longest_lease_time());
+    if (auto lost_at =
+            unanswered_calls_.last_lease_lost_at(worker_, incarnation_))
+        lease_end_ =
+            std::max(lease_end_, *lost_at + unanswered_calls::max_delay() +
+                                     longest_lease_time());
     for (const run_ref& run : state_.runs_on(worker_)) {
         run_entry entry;
         entry.phase_ = is_inherited ? run_phase::inherited : run_phase::unsent;
@@ -333,80 +331,6 @@
     out.events_.push_back({worker_.str(), text, counter});
 }
 
-bool pool_owner::worker_session::may_exist(const run_entry& entry)
-{
-    return entry.phase_ != run_phase::unsent && entry.phase_ != run_phase::over;
-}
-
-// Calls name the worker and not its incarnation, so the next incarnation under
-// the same name carries out a start that was meant for this one.
-bool pool_owner::worker_session::may_outlive(const run_ref& run,
-                                             const run_entry& entry) const
-{
-    if (!may_exist(entry))
-        return false;
-    bool is_start_open =
-        std::any_of(calls_.begin(), calls_.end(), [&run](const auto& item) {
-            const auto* start =
-                std::get_if<start_call>(&item.second.operation_);
-            return start != nullptr && start->run_ == run;
-        });
-    return is_start_open || entry.may_arrive_late_ || !entry.was_listed_;
-}
-
-void pool_owner::worker_session::replace(std::optional<std::int64_t> successor,
-                                         const std::string& evidence,
-                                         instant now)
-{
-    // Answers may overtake each other; incarnations rise.
-    if (is_replaced_ && (!successor || successor <= successor_))
-        return;
-    for (auto& [run, entry] : runs_) {
-        bool may_be_there = successor && may_outlive(run, entry);
-        if (entry.phase_ != run_phase::unsent && !may_be_there)
-            entry.phase_ = run_phase::over;
-        if (may_be_there)
-            late_starts_.add(worker_, run, now);
-        // The new incarnation knows of no stop.
-        entry.blocked_at_.reset();
-        entry.call_id_.reset();
-        entry.next_attempt_at_ = {};
-    }
-    if (!is_replaced_)
-        replaced_evidence_ = evidence;
-    is_replaced_ = true;
-    successor_ = successor;
-    is_successor_clean_ = !successor;
-    for (const auto& item : calls_) {
-        if (grants_lease(item.second))
-            late_starts_.add_lease(worker_, incarnation_, now);
-    }
-    // Answers that are still under way may come from an earlier incarnation.
-    calls_.clear();
-    hold_call_id_.reset();
-    next_hold_at_ = {};
-    lease_end_ = std::max(lease_end_, now + longest_lease_time());
-}
-
-// What the new incarnation may have taken is over once it has been stopped
-// there, or once the longest lease has passed. After a restart a worker obeys a
-// replaced owner until its first call from this one, so it is asked for what it
-// runs in any case.
-void pool_owner::worker_session::propose_replaced_end(instant now,
-                                                      owner_output& out)
-{
-    if (now < next_incarnation_end_)
-        return;
-    bool may_have_runs =
-        std::any_of(runs_.begin(), runs_.end(),
-                    [](const auto& item) { return may_exist(item.second); });
-    bool is_over = now > lease_end_ || (is_successor_clean_ && !may_have_runs);
-    if (!is_over)
-        return;
-    next_incarnation_end_ = now + proposal_retry_time;
-    out.observations_.push_back(incarnation_end(verdict_->cause_));
-}
-
 void pool_owner::worker_session::propose_incarnation_end(instant now,
                                                          owner_output& out)
 {
@@ -547,23 +471,6 @@
     hold_call_id_ = send(call, timeout, now, next_call, out);
 }
 
-// Acknowledges no outcomes and renews no lease: both belong to the session of
-// the new incarnation.
-void pool_owner::worker_session::advance_successor_hold(
-    instant now, std::uint64_t& next_call, owner_output& out)
-{
-    bool has_blocked =
-        std::any_of(runs_.begin(), runs_.end(), [](const auto& item) {
-            return may_exist(item.second) && item.second.blocked_at_;
-        });
-    bool is_due = has_blocked || !is_successor_clean_;
-    if (!is_due || hold_call_id_ || now < next_hold_at_)
-        return;
-    next_hold_at_ = now + successor_hold_interval;
-    hold_call_id_ = send(hold_call{0, std::nullopt, duration::zero()},
-                         timing_.call_timeout_, now, next_call, out);
-}
-
 std::uint64_t pool_owner::worker_session::send(
     std::variant<start_call, stop_call, hold_call> what, duration timeout,
     instant now, std::uint64_t& next_call, owner_output& out)
@@ -635,48 +542,6 @@
                call.operation_);
 }
 
-void pool_owner::worker_session::handle_successor(const call_answer& listing,
-                                                  instant sent_at, instant now,
-                                                  owner_output& out)
-{
-    replace(listing.incarnation_,
-            "an answer of incarnation " + std::to_string(listing.incarnation_),
-            now);
-    if (successor_ == listing.incarnation_)
-        handle_successor_listing(listing, sent_at, now, out);
-}
-
-void pool_owner::worker_session::handle_successor_listing(
-    const call_answer& answer, instant sent_at, instant now, owner_output& out)
-{
-    std::set<run_ref> running;
-    is_successor_clean_ =
-        answer.is_complete_ && answer.verdict_ == call_verdict::done;
-    for (const reported_run& row : answer.running_) {
-        running.insert(row.run_);
-        if (runs_.contains(row.run_))
-            continue;
-        is_successor_clean_ = false;
-        unknown_runs_.emplace(row.run_, now);
-    }
-    std::map<run_ref, run_outcome> ended;
-    for (const reported_outcome& item : answer.ended_)
-        ended.emplace(item.run_, item.outcome_);
-    for (auto& [run, entry] : runs_) {
-        if (!may_exist(entry) || running.contains(run))
-            continue;
-        auto end = ended.find(run);
-        bool was_blocked = entry.blocked_at_ && *entry.blocked_at_ <= sent_at;
-        if (end == ended.end()) {
-            if (was_blocked && answer.is_complete_)
-                entry.phase_ = run_phase::over;
-        } else if (now >= entry.next_attempt_at_) {
-            propose_run_end(run, end->second, out);
-            entry.next_attempt_at_ = now + proposal_retry_time;
-        }
-    }
-}
-
 bool pool_owner::worker_session::grants_lease(const open_call& call)
 {
     const auto* hold = std::get_if<hold_call>(&call.operation_);
@@ -707,7 +572,7 @@
         is_unreachable_ || (retire_deadline_ && lost.was_refused_);
     auto pause = timing_.retry_delay_ * std::min(lost_calls_, 4);
     if (!not_sent && grants_lease(call))
-        late_starts_.add_lease(worker_, incarnation_, now);
+        unanswered_calls_.add_lease(worker_, incarnation_, now);
     if (std::holds_alternative<hold_call>(call.operation_)) {
         acked_cursor_ = 0;
         next_hold_at_ = now + pause;
@@ -722,10 +587,10 @@
         run = &std::get<stop_call>(call.operation_).run_;
     }
     if (is_start && !not_sent)
-        late_starts_.add(worker_, *run, now);
+        unanswered_calls_.add_start(worker_, *run, now);
     auto found = runs_.find(*run);
     if (found == runs_.end()) {
-        if (late_starts_.runs_for(worker_, now).contains(*run))
+        if (unanswered_calls_.starts_for(worker_, now).contains(*run))
             unknown_runs_.emplace(*run, now + pause);
         return;
     }
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "dandelioncrank/pool/pool_owner.hpp"
-#include "late_starts.hpp"
 #include "loss_monitor.hpp"
+#include "unanswered_calls.hpp"
 
 #include <deque>
 #include <optional>
@@ -10,12 +10,15 @@
 
 namespace dandelioncrank::pool {
 
+/// Uncommitted proposals are repeated after this time.
+constexpr duration proposal_retry_time = std::chrono::milliseconds(400);
+
 /// Manages the calls to, and the runs of, one incarnation of one worker.
 class pool_owner::worker_session
 {
   public:
     worker_session(const pool_state& state, const owner_timing& timing,
-                   late_starts& late, worker_name worker,
+                   unanswered_calls& unanswered, worker_name worker,
                    std::int64_t incarnation, std::uint64_t term, instant now,
                    bool is_inherited, duration clock_wait);
 
@@ -173,7 +176,7 @@
 
     const pool_state& state_;
     const owner_timing& timing_;
-    late_starts& late_starts_;
+    unanswered_calls& unanswered_calls_;
     worker_name worker_;
     std::int64_t incarnation_;
     std::uint64_t term_;
--- a/libs/pool/test/worker_restart_test.cpp
+++ b/libs/pool/test/worker_restart_test.cpp
@@ -51,6 +51,19 @@
         return calls;
     }
 
+    /// Ends the earlier incarnation and registers a third one.
+    void register_third()
+    {
+        worker_info info = state_.worker_at(name_of(0)).info_;
+        info.incarnation_ = 3;
+        for (int i = 0; i < 4; ++i)
+            (void)answer_all();
+        REQUIRE(state_.workers().empty());
+        state_.apply(put_worker{info});
+        owner_.state_changed();
+        owner_.add_worker(name_of(0), now_);
+    }
+
     [[nodiscard]] bool has_run() const
     {
         return !state_.runs_on(name_of(0)).empty();
@@ -166,14 +179,7 @@
           "[worker_restart]")
 {
     restarted_worker pool;
-    worker_info info = pool.state_.worker_at(pool_fixture::name_of(0)).info_;
-    info.incarnation_ = 3;
-    for (int i = 0; i < 4; ++i)
-        (void)pool.answer_all();
-    REQUIRE(pool.state_.workers().empty());
-    pool.state_.apply(put_worker{info});
-    pool.owner_.state_changed();
-    pool.owner_.add_worker(pool_fixture::name_of(0), pool.now_);
+    pool.register_third();
     auto stops = owner_fixture::filter<stop_call>(pool.advance(10ms));
     REQUIRE(!stops.empty());
     CHECK(std::get<stop_call>(stops[0].operation_).run_ == pool.run_);
@@ -272,14 +278,7 @@
           "[worker_restart]")
 {
     restarted_worker pool;
-    worker_info info = pool.state_.worker_at(pool_fixture::name_of(0)).info_;
-    info.incarnation_ = 3;
-    for (int i = 0; i < 4; ++i)
-        (void)pool.answer_all();
-    REQUIRE(pool.state_.workers().empty());
-    pool.state_.apply(put_worker{info});
-    pool.owner_.state_changed();
-    pool.owner_.add_worker(pool_fixture::name_of(0), pool.now_);
+    pool.register_third();
     std::size_t stops = 0;
     for (int i = 0; i < 100; ++i) {
         std::vector<worker_call> calls = pool.advance(10ms);
@@ -354,14 +353,7 @@
           "[worker_restart]")
 {
     restarted_worker pool;
-    worker_info info = pool.state_.worker_at(pool_fixture::name_of(0)).info_;
-    info.incarnation_ = 3;
-    for (int i = 0; i < 4; ++i)
-        (void)pool.answer_all();
-    REQUIRE(pool.state_.workers().empty());
-    pool.state_.apply(put_worker{info});
-    pool.owner_.state_changed();
-    pool.owner_.add_worker(pool_fixture::name_of(0), pool.now_);
+    pool.register_third();
     pool.owner_.record_announcement(pool_fixture::name_of(0), 3, pool.clock(),
                                     pool.now_);
     for (int i = 0; i < 40; ++i) {
