pool: another worker at the address of a successor ends its runs at once

A session that settles its runs at the next incarnation took no notice of a 421, which says that this one is gone as well: it repeated its stops without a pause until the lease was over. Such an answer ends what the successor may have taken. A second successor may have taken what the first one may have. The new test failed before: ten calls in ten steps, and the run stayed.

--- a/libs/pool/src/worker_session_successor.cpp
+++ b/libs/pool/src/worker_session_successor.cpp
@@ -41,10 +41,13 @@
                                          instant now)
 {
     // Answers may overtake each other; incarnations rise.
-    if (is_replaced_ && (!successor || successor <= successor_))
+    if (successor_ && successor && successor <= successor_)
         return;
     for (auto& [run, entry] : runs_) {
-        bool may_be_there = successor && may_outlive(run, entry);
+        // What a successor may have taken, the next one may have as well.
+        bool may_be_there =
+            successor &&
+            (is_replaced_ ? may_exist(entry) : may_outlive(run, entry));
         if (entry.phase_ != run_phase::unsent && !may_be_there)
             entry.phase_ = run_phase::over;
         if (may_be_there)
--- a/libs/pool/test/worker_restart_test.cpp
+++ b/libs/pool/test/worker_restart_test.cpp
@@ -372,3 +372,23 @@
     CHECK(pool.now_ - cut_at > 15s);
     CHECK(pool.state_.find_job(job) != nullptr);
 }
+
+// Stops went out without a pause to the address of a worker whose successor had
+// given way to another worker.
+TEST_CASE("another worker at the address of a successor ends its runs",
+          "[worker_restart]")
+{
+    restarted_worker pool;
+    call_answer other;
+    other.verdict_ = call_verdict::other_incarnation;
+    std::size_t calls = 0;
+    for (int i = 0; i < 10; ++i) {
+        for (const worker_call& call : pool.advance(10ms)) {
+            ++calls;
+            pool.owner_.handle_result(call.id_, other, pool.now_);
+        }
+    }
+    CHECK(calls == 1);
+    CHECK_FALSE(pool.has_run());
+    CHECK(pool.state_.workers().empty());
+}
