--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -36,8 +36,6 @@
     double lost_work_ = 0;
     /// The rack that is cleared, if the step wants a single one.
     std::string rack_;
-    /// The workers that were chosen for its tasks.
-    std::vector<worker_name> workers_ = {};
 };
 
 /// Why a runnable step is still waiting.
@@ -101,13 +99,12 @@
 /// are preempted.
 ///
 /// Steps for which work was preempted are placed first for some seconds, so
-/// that nothing else takes the cleared resources; gangs keep the workers that
-/// were chosen for them. Then come jobs within their team's guarantee, then
-/// jobs by priority and by whether they can still meet their deadline; within
-/// the same rank, small jobs come first. Jobs of priority 0 may preempt work of
-/// lower priority; jobs within a guarantee may also preempt priority-0 work
-/// that is outside of any. Rack-sensitive work waits for a suitable rack,
-/// unless a large part of the pool is idle.
+/// that nothing else takes the cleared resources. Then come jobs within their
+/// team's guarantee, then jobs by priority and by whether they can still meet
+/// their deadline; within the same rank, small jobs come first. Jobs of
+/// priority 0 may preempt work of lower priority; jobs within a guarantee may
+/// also preempt priority-0 work that is outside of any. Rack-sensitive work
+/// waits for a suitable rack, unless a large part of the pool is idle.
 ///
 /// Work that is suspected of crashing its workers starts where least would be
 /// lost, never beside other suspects, and only on a share of a busy pool. Other
--- a/libs/pool/src/pending_unit.hpp
+++ b/libs/pool/src/pending_unit.hpp
@@ -42,11 +42,6 @@
     {
         return {job_->spec_.id_, occurrence_, step_};
     }
-    /// Whether it ranks first because work was preempted for it.
-    [[nodiscard]] bool is_cleared_for() const
-    {
-        return cleared_since_ != instant{};
-    }
     /// Whether it may preempt other work.
     [[nodiscard]] bool may_preempt() const;
 };
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -49,43 +49,13 @@
 
     placement_plan make()
     {
-        std::vector<pending_unit> units =
-            collect_pending(state_, input_, guarantees_.jobs_);
-        for (const pending_unit& unit : units) {
-            if (unit.is_cleared_for() && unit.spec().is_gang_ &&
-                !unit.is_suspect())
-                hold_cleared(unit);
-        }
-        for (const pending_unit& unit : units)
+        for (const pending_unit& unit :
+             collect_pending(state_, input_, guarantees_.jobs_))
             place_unit(unit);
         return std::move(plan_);
     }
 
   private:
-    /// Sets the workers aside that are being cleared for a gang. Otherwise one
-    /// that is placed before it takes them when they are free first, and leaves
-    /// its own, which need not suffice for this one.
-    void hold_cleared(const pending_unit& unit)
-    {
-        const std::vector<worker_name>& names =
-            input_.clearings_.at(unit.key()).workers_;
-        if (auto where = search_.find_on_workers(unit, names, false)) {
-            for (worker_index index : where->workers_)
-                table_.allocate(index, unit);
-            cleared_.emplace(unit.key(), *where);
-            return;
-        }
-        auto where = search_.find_on_workers(unit, names, true);
-        // Something else runs there if there is work to lose.
-        if (!where || where->cost_ > 0)
-            return;
-        for (victim_index index : where->victims_)
-            table_.mark_releasing(index);
-        for (worker_index index : where->workers_)
-            table_.reserve(index, unit);
-        held_.insert(unit.key());
-    }
-
     void place_unit(const pending_unit& unit)
     {
         if (unit.spec().is_gang_) {
@@ -117,12 +87,6 @@
     /// why it waits and may preempt other work.
     std::optional<placement> place_together(const pending_unit& unit)
     {
-        auto cleared = cleared_.find(unit.key());
-        if (cleared != cleared_.end()) {
-            for (worker_index index : cleared->second.workers_)
-                table_.note_start(index, unit);
-            return cleared->second;
-        }
         if (!leaves_headroom(unit)) {
             bool has_capacity =
                 table_.free_accelerators() >= unit.accelerators();
@@ -151,7 +115,7 @@
                 auto earlier = input_.clearings_.find(unit.key());
                 if (earlier != input_.clearings_.end())
                     plan_.clearings_.insert(*earlier);
-                if (unit.may_preempt() && !held_.contains(unit.key()))
+                if (unit.may_preempt())
                     try_preemption(unit);
                 return std::nullopt;
             }
@@ -272,17 +236,13 @@
             }
             table_.mark_releasing(index);
         }
-        std::vector<worker_name> names;
-        for (worker_index index : where.workers_) {
+        for (worker_index index : where.workers_)
             table_.reserve(index, unit);
-            names.push_back(table_.workers()[index].info_->name_);
-        }
         clearing& entry = plan_.clearings_[unit.key()];
         if (entry.lost_work_ == 0)
             entry.since_ = input_.now_;
         entry.lost_work_ += where.cost_;
         entry.rack_ = where.rack_;
-        entry.workers_ = std::move(names);
     }
 
     const pool_state& state_;
@@ -291,10 +251,6 @@
     resource_table table_;
     placement_search search_;
     placement_plan plan_;
-    /// Gangs whose cleared workers are free, with their placement.
-    std::map<step_key, placement> cleared_;
-    /// Gangs for which resources are set aside that others still release.
-    std::set<step_key> held_;
 };
 
 } // namespace
--- a/libs/pool/src/placement_search.cpp
+++ b/libs/pool/src/placement_search.cpp
@@ -1,7 +1,6 @@
 #include "placement_search.hpp"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 
 namespace dandelioncrank::pool {
@@ -116,21 +115,6 @@
     return could_fit_some_rack(unit) ? std::nullopt : find_free_anywhere(unit);
 }
 
-std::optional<placement>
-placement_search::find_on_workers(const pending_unit& unit,
-                                  const std::vector<worker_name>& names,
-                                  bool allow_preemption)
-{
-    std::set<worker_index> found;
-    for (const worker_name& name : names) {
-        auto index = table_.find_worker(name);
-        if (!index)
-            return std::nullopt;
-        found.insert(*index);
-    }
-    return find_on(unit, {found.begin(), found.end()}, allow_preemption);
-}
-
 std::optional<placement>
 placement_search::find_free_in_any_rack(const pending_unit& unit)
 {
--- a/libs/pool/src/placement_search.hpp
+++ b/libs/pool/src/placement_search.hpp
@@ -34,11 +34,6 @@
 
     /// Finds a placement in free resources.
     [[nodiscard]] std::optional<placement> find_free(const pending_unit& unit);
-    /// Finds a placement on some workers only, all of which must be usable.
-    [[nodiscard]] std::optional<placement>
-    find_on_workers(const pending_unit& unit,
-                    const std::vector<worker_name>& names,
-                    bool allow_preemption);
     /// Finds a placement in free resources regardless of racks, for a unit
     /// that has a preferred rack; returns nothing for others.
     [[nodiscard]] std::optional<placement>
--- a/libs/pool/src/resource_table.cpp
+++ b/libs/pool/src/resource_table.cpp
@@ -137,14 +137,6 @@
                                          : std::optional(found->second);
 }
 
-std::optional<worker_index>
-resource_table::find_worker(const worker_name& name) const
-{
-    auto found = by_name_.find(name);
-    return found == by_name_.end() ? std::nullopt
-                                   : std::optional(found->second);
-}
-
 std::optional<service_index>
 resource_table::find_service(const service_name& name) const
 {
--- a/libs/pool/src/resource_table.hpp
+++ b/libs/pool/src/resource_table.hpp
@@ -105,8 +105,6 @@
     {
         return racks_by_free_;
     }
-    [[nodiscard]] std::optional<worker_index>
-    find_worker(const worker_name& name) const;
     [[nodiscard]] std::optional<service_index>
     find_service(const service_name& name) const;
     /// Workers of a service with free resources, by free_key.
