control: the members of the group are kept by a class of their own

Cause: control_host.cpp had 708 lines; besides carrying messages and the pool's ownership it kept hellos and turned them into changes of the members. Change: membership_manager does the latter. Left: what remains in control_host.cpp wires the parts of a control host together.

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -2,13 +2,13 @@
 
 #include "client_service.hpp"
 #include "dandelioncrank/control/membership_planner.hpp"
-#include "dandelioncrank/core/overloaded.hpp"
 #include "dandelioncrank/peer/peer_server.hpp"
 #include "dandelioncrank/replica/replica.hpp"
 #include "disk_thread.hpp"
 #include "group_log.hpp"
 #include "loop_report.hpp"
 #include "loss_description.hpp"
+#include "membership_manager.hpp"
 #include "peer_registry.hpp"
 #include "worker_service.hpp"
 
@@ -31,7 +31,6 @@
 // Minimum interval between two runs of the pool owner; each run visits every
 // worker.
 constexpr auto owner_interval = 8ms;
-constexpr duration membership_review_interval = 100ms;
 // Hellos are more frequent while no leader is known.
 constexpr duration hello_interval = 400ms;
 constexpr duration leaderless_hello_interval = 100ms;
@@ -84,7 +83,6 @@
     void execute(pool::owner_output output);
     void log_events(const std::vector<pool::owner_event>& events);
     void send_calls(const std::vector<pool::worker_call>& calls);
-    void review_membership(instant now);
     void tick();
 
     [[nodiscard]] bool is_leader() const { return replica_->is_leader(); }
@@ -121,9 +119,7 @@
     instant owner_last_run_at_{};
     std::unique_ptr<worker_service> workers_;
     std::map<std::string, instant> entry_hello_at_;
-    std::map<voter_name, instant> last_hello_at_;
-    std::map<std::string, zone_name> zones_;
-    instant membership_reviewed_at_{};
+    std::unique_ptr<membership_manager> membership_;
     instant hellos_sent_at_{};
     QObject context_;
     QTimer timer_;
@@ -166,6 +162,8 @@
         [this](const consensus_message& message) {
             peers_.post(address_of(message.to_), message);
         });
+    membership_ =
+        std::make_unique<membership_manager>(*replica_, settings_, metrics_);
     group_ = std::make_unique<group_log>(*replica_, metrics_, meter_);
     group_->on_flush_ = [this] { schedule_owner(); };
     clients_ = std::make_unique<client_service>(*replica_, *group_, metrics_);
@@ -234,8 +232,7 @@
     activity_meter::scope scope(meter_, hellos);
     if (!item.voter_.empty()) {
         peers_.add_control_host(item.address_);
-        last_hello_at_[item.voter_] = steady_now();
-        zones_[item.address_] = item.zone_;
+        membership_->record_hello(item, steady_now());
     }
     hello_response response;
     response.is_leader_ = is_leader();
@@ -307,11 +304,9 @@
 std::vector<std::string> control_host::implementation::live_hosts() const
 {
     std::vector<std::string> hosts;
-    instant now = steady_now();
-    for (const auto& [identity, at] : last_hello_at_) {
-        if (now - at < control_host_timeout)
-            hosts.push_back(control_address_of(address_of(identity)));
-    }
+    for (const std::string& address :
+         membership_->heard_since(steady_now() - control_host_timeout))
+        hosts.push_back(control_address_of(address));
     return hosts;
 }
 
@@ -532,61 +527,6 @@
     }
 }
 
-void control_host::implementation::review_membership(instant now)
-{
-    if (!is_leader() ||
-        now - membership_reviewed_at_ < membership_review_interval)
-        return;
-    membership_reviewed_at_ = now;
-    replica_status status = replica_->status();
-    membership_view view;
-    view.members_ = status.members_;
-    view.self_ = status.self_;
-    view.last_hello_at_ = last_hello_at_;
-    view.zones_ = zones_;
-    view.zones_[peers_.self()] = settings_.zone_;
-    view.target_voters_ = 2 * settings_.tolerated_hosts_ + 1;
-    view.catch_up_time_ = settings_.catch_up_time_;
-    view.now_ = now;
-    for (const auto* group :
-         {&status.members_.voters_, &status.members_.learners_}) {
-        for (const voter_name& identity : *group) {
-            if (auto heard = replica_->last_contact_at(identity))
-                view.last_response_at_[identity] = *heard;
-        }
-    }
-    auto change = next_membership_change(view);
-    if (!change)
-        return;
-    bool is_accepted = std::visit(
-        overloaded{[&](const add_learner_change& item) {
-                       log_.event("Adding control host as learner.",
-                                  {{"member", item.identity_.str()}});
-                       return replica_->add_learner(
-                           item.identity_, address_of(item.identity_), now);
-                   },
-                   [&](const promote_learner_change& item) {
-                       log_.event("Promoting learner to voter.",
-                                  {{"member", item.identity_.str()}});
-                       return replica_->promote_learner(item.identity_, now);
-                   },
-                   [&](const replace_voter_change& item) {
-                       log_.event("Replacing voter.",
-                                  {{"old", item.old_.str()},
-                                   {"new", item.new_.str()}});
-                       return replica_->replace_voter(
-                           item.old_, item.new_, address_of(item.new_), now);
-                   },
-                   [&](const remove_member_change& item) {
-                       log_.event("Removing member.",
-                                  {{"member", item.identity_.str()}});
-                       return replica_->remove_member(item.identity_, now);
-                   }},
-        *change);
-    if (!is_accepted)
-        metrics_.count("member_steps_refused");
-}
-
 void control_host::implementation::tick()
 {
     instant now = steady_now();
@@ -600,7 +540,7 @@
     }
     send_hellos(now);
     relay_announcements(now);
-    review_membership(now);
+    membership_->review(now);
     acquire_pool();
     group_->schedule_flush();
     if (!on_stopped_)
