--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -150,6 +150,53 @@
     CHECK(pool.state_.workers().empty());
 }
 
+// Its lease is all that ends the runs of a worker that leaves out of contact,
+// so it is not renewed while it still answers.
+TEST_CASE("the lease of a retiring worker is not renewed", "[pool_owner]")
+{
+    owner_fixture pool;
+    worker_call hold =
+        pool.start_run_on_worker(pool_fixture::make_step(1, 1, false));
+    call_answer listing;
+    listing.running_ = {{{{job_id("a"), 0, 0, 0}, 1}, {}, 10}};
+    REQUIRE(pool.owner_.retire_worker(pool_fixture::name_of(0), 1, pool.now_));
+    pool.answer(hold, listing);
+    std::size_t holds = 0;
+    for (int i = 0; i < 10; ++i) {
+        for (const worker_call& call : pool.advance(100ms)) {
+            if (const auto* item = std::get_if<hold_call>(&call.operation_)) {
+                CHECK_FALSE(item->lease_until_ms_);
+                ++holds;
+            }
+            pool.answer(call, listing);
+        }
+    }
+    CHECK(holds > 0);
+}
+
+// A listing that was asked for before the stop may have been made before the
+// start, so it does not show that the run is blocked.
+TEST_CASE("only a listing after the stop shows that a run is over",
+          "[pool_owner]")
+{
+    owner_fixture pool;
+    worker_call earlier =
+        pool.start_run_on_worker(pool_fixture::make_step(1, 1, false));
+    pool.state_.apply(cancel_job{job_id("a"), pool.grant_queue_access(1, "t")});
+    pool.owner_.state_changed();
+    auto stops = owner_fixture::filter<stop_call>(pool.advance(100ms));
+    REQUIRE(stops.size() == 1);
+    pool.answer(stops[0]);
+    pool.answer(earlier);
+    auto later = owner_fixture::filter<hold_call>(pool.advance(100ms));
+    pool.advance(10ms);
+    CHECK(!pool.state_.runs_on(pool_fixture::name_of(0)).empty());
+    REQUIRE(later.size() == 1);
+    pool.answer(later[0]);
+    pool.advance(10ms);
+    CHECK(pool.state_.runs_on(pool_fixture::name_of(0)).empty());
+}
+
 // Workers with runs accept no calls once they have announced their shutdown, so
 // waiting for them only delays their tasks. Seen in sineira-visitas, workers
 // that leave.
--- a/libs/pool/test/worker_restart_test.cpp
+++ b/libs/pool/test/worker_restart_test.cpp
@@ -409,3 +409,63 @@
     CHECK_FALSE(pool.has_run());
     CHECK(pool.state_.workers().empty());
 }
+
+// A replaced owner may have started a run on the new incarnation, which obeys
+// it until the first call of its successor.
+TEST_CASE("what a new incarnation runs for a replaced owner is stopped first",
+          "[worker_restart]")
+{
+    restarted_worker pool;
+    run_ref foreign{{job_id("b"), 0, 0, 0}, 3};
+    call_answer listing;
+    listing.running_ = {{foreign, {}, 10}};
+    std::set<run_ref> stopped;
+    for (int i = 0; i < 6; ++i) {
+        for (const worker_call& call :
+             owner_fixture::filter<stop_call>(pool.answer_all(listing)))
+            stopped.insert(std::get<stop_call>(call.operation_).run_);
+    }
+    CHECK(stopped == std::set<run_ref>{pool.run_, foreign});
+    CHECK(!pool.state_.workers().empty());
+    for (int i = 0; i < 3; ++i)
+        (void)pool.answer_all();
+    CHECK(pool.state_.workers().empty());
+}
+
+// What a listing leaves out may still be there, on a new incarnation too.
+TEST_CASE("an incomplete listing of a new incarnation ends no run",
+          "[worker_restart]")
+{
+    restarted_worker pool;
+    call_answer incomplete;
+    incomplete.is_complete_ = false;
+    for (int i = 0; i < 4; ++i)
+        (void)pool.answer_all(incomplete);
+    for (int i = 0; i < 4; ++i)
+        (void)pool.answer_all(pool.running_listing());
+    CHECK(pool.has_run());
+    for (int i = 0; i < 3; ++i)
+        (void)pool.answer_all();
+    CHECK_FALSE(pool.has_run());
+}
+
+// The same if no run of the earlier incarnation can be there.
+TEST_CASE("an incomplete listing does not end an earlier incarnation",
+          "[worker_restart]")
+{
+    owner_fixture pool;
+    worker_info next = pool.state_.worker_at(pool_fixture::name_of(0)).info_;
+    next.incarnation_ = 2;
+    call_answer listing;
+    listing.incarnation_ = 2;
+    listing.is_complete_ = false;
+    pool.owner_.replace_incarnations(next, listing, pool.now_, pool.now_);
+    auto holds = owner_fixture::filter<hold_call>(pool.advance(10ms));
+    pool.advance(10ms);
+    CHECK(!pool.state_.workers().empty());
+    REQUIRE(holds.size() == 1);
+    listing.is_complete_ = true;
+    pool.answer(holds[0], listing);
+    pool.advance(10ms);
+    CHECK(pool.state_.workers().empty());
+}
