pool: the random runs name the token and the age of the incarnation

Change: a failed check of a start prints its token, the highest token that the worker had seen and the age of its incarnation; DANDELIONCRANK_FIRST_SEED and DANDELIONCRANK_SEED_COUNT choose the seeds. Checks and default seeds are as before.

--- a/libs/pool/test/random_run_test.cpp
+++ b/libs/pool/test/random_run_test.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdlib>
 #include <functional>
 #include <queue>
 #include <random>
@@ -449,9 +450,14 @@
         bool was_there =
             start != nullptr && worker.running_.contains(start->run_);
         collect_done(worker);
+        std::uint64_t token_before = worker.token_;
         call_answer answer = worker.execute(call, spec, run_time, fails, now_);
         if (start != nullptr && !was_there &&
             worker.running_.contains(start->run_)) {
+            INFO("token " << call.fencing_token_ << " after " << token_before
+                          << ", incarnation "
+                          << to_milliseconds(now_ - worker.started_at_)
+                          << " ms old");
             check_started_run(*start, worker);
             if (in_time) {
                 INFO(to_text(start->run_) << " on " << call.worker_.str());
@@ -627,17 +633,29 @@
     std::uint64_t next_event_ = 0;
 };
 
+/// Runs the simulation with the default seeds, or with those that the
+/// environment names: DANDELIONCRANK_FIRST_SEED, DANDELIONCRANK_SEED_COUNT.
+void run_seeds(std::uint64_t default_count, pool_simulation::late_calls late)
+{
+    auto number = [](const char* name, std::uint64_t otherwise) {
+        const char* text = std::getenv(name);
+        return text == nullptr ? otherwise : std::stoull(text);
+    };
+    std::uint64_t first = number("DANDELIONCRANK_FIRST_SEED", 1);
+    std::uint64_t count = number("DANDELIONCRANK_SEED_COUNT", default_count);
+    REQUIRE(count > 0);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        INFO("seed " << seed);
+        pool_simulation(seed, late).run();
+    }
+}
+
 } // namespace
 
 TEST_CASE("no task runs twice under lost calls, delays and failovers",
           "[pool_random_run]")
 {
-    constexpr std::uint64_t seeds = 20;
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        INFO("seed " << seed);
-        pool_simulation(seed, pool_simulation::late_calls::end_with_the_process)
-            .run();
-    }
+    run_seeds(20, pool_simulation::late_calls::end_with_the_process);
 }
 
 // A start without an answer is carried out by the next incarnation of its
@@ -645,10 +663,5 @@
 TEST_CASE("no task runs twice under calls that outlive restarts",
           "[pool_late_calls]")
 {
-    constexpr std::uint64_t seeds = 20;
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        INFO("seed " << seed);
-        pool_simulation(seed, pool_simulation::late_calls::outlive_restarts)
-            .run();
-    }
+    run_seeds(20, pool_simulation::late_calls::outlive_restarts);
 }
