pool: a call without an answer is void once its worker has been called again

Cause: a call without an answer is carried out seconds later, by whichever incarnation has its worker's name then. The fencing token was the term, the same for all calls of an owner, so a new incarnation that the owner had called already could not tell the late start from a present one. The owner kept a list of lost starts and stopped them one by one, which came too late; a done task needs no second run at all, so no wait before that helps either.

Change: fencing_tokens keeps a count for each worker below the term (29 and 24 bits, below 2^53). It rises with each start, lease or acknowledgement that may have arrived without an answer, with each new incarnation, and with each session that is closed with open calls. The next call that reaches the worker makes all before it void, so the list of lost starts (65,536 entries, 15 s) is gone. A listing with the raised token tells what a new incarnation has taken for good. A call that another one of its owner has overtaken is sent again; fenced with the present token still means a later owner. Each new incarnation is asked for its runs before anything starts there; an idle worker keeps an open hold while a call may still reach it late, so that its restart is noticed; a worker out of contact gets neither a lease nor an acknowledgement.

Conclusion: what is left is a call that reaches a new incarnation before any other of its owner.

--- a/libs/control/src/worker_service.cpp
+++ b/libs/control/src/worker_service.cpp
@@ -112,23 +112,22 @@
     call.worker_ = name;
     call.incarnation_ = item.info_.incarnation_;
     call.address_ = item.info_.address_;
-    call.fencing_token_ = replica_.status().term_;
+    call.fencing_token_ = owner_.fencing_token_for(name);
     call.operation_ = pool::hold_call{};
     call.timeout_ = confirmation_timeout;
     registrations_.emplace(name, std::move(item));
-    instant sent_at = steady_now();
-    call_worker_(
-        call, [this, name, sent_at, info = registrations_.at(name).info_](
-                  const pool::call_result& result) {
-            auto found = registrations_.find(name);
-            if (found != registrations_.end() && found->second.info_ == info)
-                handle_confirmation(found->second, result, sent_at);
-        });
+    call_worker_(call, [this, name, token = call.fencing_token_,
+                        info = registrations_.at(name).info_](
+                           const pool::call_result& result) {
+        auto found = registrations_.find(name);
+        if (found != registrations_.end() && found->second.info_ == info)
+            handle_confirmation(found->second, result, token);
+    });
 }
 
 void worker_service::handle_confirmation(registration& item,
                                          const pool::call_result& result,
-                                         instant sent_at)
+                                         std::uint64_t token)
 {
     const pool::worker_info& info = item.info_;
     switch (pool::judge_confirmation(info, result)) {
@@ -137,7 +136,7 @@
         item.is_confirmed_ = true;
         seen_workers_revision_.reset();
         owner_.replace_incarnations(info, std::get<pool::call_answer>(result),
-                                    sent_at, steady_now());
+                                    token, steady_now());
         on_owner_work_();
         return;
     case pool::confirmation::refuted:
--- a/libs/control/src/worker_service.hpp
+++ b/libs/control/src/worker_service.hpp
@@ -76,7 +76,8 @@
     /// Asks the process at the announced address who it is.
     void confirm_worker(registration item);
     void handle_confirmation(registration& item,
-                             const pool::call_result& result, instant sent_at);
+                             const pool::call_result& result,
+                             std::uint64_t token);
     void commit_worker(const registration& item);
     /// Tells the worker to ask again.
     void give_up(const registration& item);
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -63,7 +63,7 @@
     std::vector<owner_event> events_;
 };
 
-class unanswered_calls;
+class fencing_tokens;
 class loss_monitor;
 
 /// Manages a pool of workers during one term: plans placements, sends start
@@ -97,16 +97,19 @@
     /// false if the owner does not manage that incarnation.
     bool retire_worker(const worker_name& worker, std::int64_t incarnation,
                        instant now);
+    /// Returns the fencing token for a call to a worker that asks for its
+    /// listing only.
+    [[nodiscard]] std::uint64_t
+    fencing_token_for(const worker_name& worker) const;
     /// Whether a retiring worker has had its time to report outcomes. Its runs
     /// may still exist.
     [[nodiscard]] bool may_leave(const worker_name& worker,
                                  std::int64_t incarnation, instant now) const;
     /// Ends the incarnations that a worker has replaced, by its name or at its
     /// address, once none of their runs can exist any more. The worker has
-    /// confirmed that with its answer to a hold call that was sent at
-    /// `sent_at`.
+    /// confirmed that with its answer to a hold call with that token.
     void replace_incarnations(const worker_info& successor,
-                              const call_answer& listing, instant sent_at,
+                              const call_answer& listing, std::uint64_t token,
                               instant now);
     void handle_result(std::uint64_t call, const call_result& result,
                        instant now);
@@ -138,7 +141,7 @@
     void sync_with_state();
     void open_session(const worker_name& worker, std::int64_t incarnation,
                       instant now, bool is_inherited);
-    void close_session(const worker_session& session);
+    void close_session(const worker_session& session, instant now);
     /// Judges once why an incarnation was lost that has been replaced.
     void judge_loss(worker_session& session, instant now);
     [[nodiscard]] std::unique_ptr<loss_monitor> make_loss_monitor() const;
@@ -171,7 +174,7 @@
     std::map<step_key, clearing> clearings_;
     std::map<step_key, wait_entry> waits_;
     std::unique_ptr<loss_monitor> losses_;
-    std::unique_ptr<unanswered_calls> unanswered_calls_;
+    std::unique_ptr<fencing_tokens> tokens_;
     /// When tasks whose runs have lapsed repeatedly may start again.
     std::map<task_ref, instant> restart_at_;
     std::uint64_t seen_notices_ = 0;
--- a/libs/pool/include/dandelioncrank/pool/worker_calls.hpp
+++ b/libs/pool/include/dandelioncrank/pool/worker_calls.hpp
@@ -43,7 +43,7 @@
     worker_name worker_;
     std::int64_t incarnation_ = 0;
     std::string address_;
-    /// Term of the owner; workers ignore owners of lower terms.
+    /// Workers do nothing for a token below the highest that they have seen.
     std::uint64_t fencing_token_ = 0;
     std::variant<start_call, stop_call, hold_call> operation_;
     /// How long the caller waits for the answer.
@@ -54,7 +54,7 @@
 enum class call_verdict
 {
     done,
-    /// A later owner has called this worker.
+    /// The worker has received a call with a higher token.
     fenced,
     /// This run or a later one of its task has ended or was stopped there.
     outdated,
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -1,7 +1,7 @@
 #include "dandelioncrank/pool/pool_owner.hpp"
 
+#include "fencing_tokens.hpp"
 #include "loss_monitor.hpp"
-#include "unanswered_calls.hpp"
 #include "worker_session.hpp"
 
 #include <algorithm>
@@ -96,7 +96,7 @@
 
 pool_owner::pool_owner(const pool_state& state, owner_timing timing)
     : state_(state), timing_(timing), losses_(make_loss_monitor()),
-      unanswered_calls_(std::make_unique<unanswered_calls>())
+      tokens_(std::make_unique<fencing_tokens>())
 {
 }
 
@@ -118,6 +118,7 @@
     workers_revision_.reset();
     swept_at_ = {};
     losses_ = make_loss_monitor();
+    tokens_->begin(term);
     seen_notices_ = state_.notice_count();
     for (const auto& [name, record] : state_.workers())
         open_session(name, record.info_.incarnation_, now, true);
@@ -133,13 +134,16 @@
     if (is_inherited)
         clock_wait += sessions_.size() * clock_request_spacing;
     sessions_[worker] = std::make_unique<worker_session>(
-        state_, timing_, *unanswered_calls_, worker, incarnation, term_, now,
-        is_inherited, clock_wait);
+        state_, timing_, *tokens_, worker, incarnation, now, is_inherited,
+        clock_wait);
     due_.insert(worker);
 }
 
-void pool_owner::close_session(const worker_session& session)
+void pool_owner::close_session(const worker_session& session, instant now)
 {
+    // Their answers will not be seen.
+    if (session.has_open_effects())
+        tokens_->record_lost_call(session.worker(), now);
     for (std::uint64_t call : session.open_calls())
         calls_.erase(call);
     sessions_.erase(session.worker());
@@ -155,7 +159,7 @@
     if (found != sessions_.end()) {
         if (found->second->incarnation() == incarnation)
             return;
-        close_session(*found->second);
+        close_session(*found->second, now);
     }
     open_session(worker, incarnation, now, false);
 }
@@ -170,7 +174,6 @@
     clearings_.clear();
     waits_.clear();
     restart_at_.clear();
-    unanswered_calls_->clear();
     starts_pending_ = false;
     output_ = {};
 }
@@ -200,6 +203,11 @@
     return is_known;
 }
 
+std::uint64_t pool_owner::fencing_token_for(const worker_name& worker) const
+{
+    return tokens_->token_for(worker);
+}
+
 bool pool_owner::may_leave(const worker_name& worker, std::int64_t incarnation,
                            instant now) const
 {
@@ -211,7 +219,7 @@
 
 void pool_owner::replace_incarnations(const worker_info& successor,
                                       const call_answer& listing,
-                                      instant sent_at, instant now)
+                                      std::uint64_t token, instant now)
 {
     for (const auto& [name, session] : sessions_) {
         if (!is_current(*session))
@@ -222,7 +230,7 @@
         if (is_same || (!has_name && session->address() != successor.address_))
             continue;
         if (has_name)
-            session->handle_successor(listing, sent_at, now, output_);
+            session->handle_successor(listing, token, now, output_);
         else
             session->replace(
                 std::nullopt,
@@ -320,7 +328,7 @@
             closed.push_back(item.second.get());
     }
     for (const worker_session* session : closed)
-        close_session(*session);
+        close_session(*session, now_);
     for (const auto& [name, record] : state_.workers()) {
         if (!sessions_.contains(name))
             open_session(name, record.info_.incarnation_, now_, false);
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -31,25 +31,17 @@
 } // namespace
 
 pool_owner::worker_session::worker_session(
-    const pool_state& state, const owner_timing& timing,
-    unanswered_calls& unanswered, worker_name worker, std::int64_t incarnation,
-    std::uint64_t term, instant now, bool is_inherited, duration clock_wait)
-    : state_(state), timing_(timing), unanswered_calls_(unanswered),
-      worker_(std::move(worker)), incarnation_(incarnation), term_(term),
+    const pool_state& state, const owner_timing& timing, fencing_tokens& tokens,
+    worker_name worker, std::int64_t incarnation, instant now,
+    bool is_inherited, duration clock_wait)
+    : state_(state), timing_(timing), tokens_(tokens),
+      worker_(std::move(worker)), incarnation_(incarnation),
       clock_request_at_(now + clock_wait), last_contact_at_(now)
 {
-    for (const run_ref& run : unanswered_calls_.starts_for(worker_, now))
-        unknown_runs_.emplace(run, now);
     lease_end_ = now + longest_lease_time();
     if (is_inherited)
         lease_end_ += timing_.replaced_owner_time_;
-    // A lease of a call without an answer counts from its late arrival, since
-    // its end goes by the clock of another incarnation.
-    if (auto lost_at =
-            unanswered_calls_.last_lease_lost_at(worker_, incarnation_))
-        lease_end_ =
-            std::max(lease_end_, *lost_at + unanswered_calls::max_delay() +
-                                     longest_lease_time());
+    awaits_listing_ = !is_inherited;
     for (const run_ref& run : state_.runs_on(worker_)) {
         run_entry entry;
         entry.phase_ = is_inherited ? run_phase::inherited : run_phase::unsent;
@@ -57,7 +49,6 @@
         entry.started_at_ = now;
         entry.progress_at_ = now;
         runs_.emplace(run, entry);
-        unknown_runs_.erase(run);
     }
 }
 
@@ -77,7 +68,10 @@
     bool is_first = !clock_ms_;
     clock_ms_ = clock_ms;
     clock_read_at_ = now;
-    return is_first || hold_requested_;
+    bool is_hold_due = hold_requested_ || awaits_listing_;
+    if (is_hold_due)
+        next_hold_at_ = now;
+    return is_first || is_hold_due;
 }
 
 std::int64_t pool_owner::worker_session::clock_at(instant now) const
@@ -111,7 +105,14 @@
                    now - last_failure_at_ > timing_.quarantine_;
     return is_responsive && is_capacity_known(now) && trusted && clock_ms_ &&
            now >= backoff_until_ && !retire_deadline_ && !is_replaced_ &&
-           !is_fenced_ && can_list_runs(now);
+           !is_fenced_ && !awaits_listing_ && can_list_runs(now);
+}
+
+// Calls from before may still reach its next incarnation.
+bool pool_owner::worker_session::is_watched(instant now) const
+{
+    bool may_ask = clock_ms_.has_value() || now > clock_request_at_;
+    return awaits_listing_ || (may_ask && now < tokens_.late_until(worker_));
 }
 
 bool pool_owner::worker_session::can_list_runs(instant now) const
@@ -430,11 +431,13 @@
         std::any_of(runs_.begin(), runs_.end(), [](const auto& item) {
             return item.second.phase_ != run_phase::unsent;
         });
+    // What a silent worker may carry out after a restart is harmful there.
+    bool is_in_contact = lost_calls_ == 0 && !awaits_listing_;
     bool must_acknowledge = cursor > acked_cursor_;
     // Starts carry a lease end by the worker's clock.
     bool needs_clock = !clock_ms_ && now > clock_request_at_;
-    bool is_due =
-        has_runs || must_acknowledge || hold_requested_ || needs_clock;
+    bool is_due = has_runs || must_acknowledge || hold_requested_ ||
+                  needs_clock || is_watched(now);
     if (now < next_hold_at_ || !is_due)
         return;
     // Wait for outcomes being committed: the next hold acknowledges them.
@@ -442,20 +445,20 @@
         proposed_cursor_ > cursor && now - proposed_at_ < proposal_retry_time;
     if (is_committing || (hold_call_id_ && !hold_requested_))
         return;
-    bool must_know = hold_requested_ || lost_calls_ > 0;
+    bool must_know = hold_requested_ || !is_in_contact;
     for (const auto& item : runs_)
         must_know = must_know || item.second.phase_ == run_phase::inherited;
-    hold_call call{cursor, std::nullopt, duration::zero()};
-    if (has_runs && !must_know && clock_ms_)
+    hold_call call{is_in_contact ? cursor : 0, std::nullopt, duration::zero()};
+    if ((has_runs || is_watched(now)) && !must_know && clock_ms_)
         call.wait_ = timing_.hold_wait_;
     // What a worker cannot list ends with its lease.
     bool may_renew = !is_fenced_ && !retire_deadline_ && can_list_runs(now);
     // A lease that may never arrive would postpone the time at which the runs
     // have certainly ended.
-    if (has_runs && lost_calls_ == 0 && clock_ms_ && may_renew)
+    if (has_runs && is_in_contact && clock_ms_ && may_renew)
         call.lease_until_ms_ = grant_lease(now);
     hold_requested_ = false;
-    acked_cursor_ = cursor;
+    acked_cursor_ = call.outcome_cursor_;
     duration timeout = call.wait_ + timing_.call_timeout_;
     hold_call_id_ = send(call, timeout, now, next_call, out);
 }
@@ -465,8 +468,9 @@
     instant now, std::uint64_t& next_call, owner_output& out)
 {
     std::uint64_t id = next_call++;
-    calls_.emplace(id, open_call{what, info().address_, now});
-    out.calls_.push_back({id, worker_, incarnation_, info().address_, term_,
+    std::uint64_t token = tokens_.token_for(worker_);
+    calls_.emplace(id, open_call{what, info().address_, now, token});
+    out.calls_.push_back({id, worker_, incarnation_, info().address_, token,
                           std::move(what), timeout});
     return id;
 }
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "dandelioncrank/pool/pool_owner.hpp"
+#include "fencing_tokens.hpp"
 #include "loss_monitor.hpp"
-#include "unanswered_calls.hpp"
 
 #include <deque>
 #include <optional>
@@ -21,9 +21,9 @@
 {
   public:
     worker_session(const pool_state& state, const owner_timing& timing,
-                   unanswered_calls& unanswered, worker_name worker,
-                   std::int64_t incarnation, std::uint64_t term, instant now,
-                   bool is_inherited, duration clock_wait);
+                   fencing_tokens& tokens, worker_name worker,
+                   std::int64_t incarnation, instant now, bool is_inherited,
+                   duration clock_wait);
 
     [[nodiscard]] const worker_name& worker() const { return worker_; }
     [[nodiscard]] std::int64_t incarnation() const { return incarnation_; }
@@ -58,6 +58,9 @@
     /// Returns the runs without progress for longer than the stall timeout.
     [[nodiscard]] std::vector<run_ref> stalled_runs(instant now) const;
     [[nodiscard]] std::vector<std::uint64_t> open_calls() const;
+    /// Whether an open call may change what an incarnation runs or reports,
+    /// also one that it was not sent to.
+    [[nodiscard]] bool has_open_effects() const;
     /// Returns the end of this incarnation, with the checkpoints seen.
     [[nodiscard]] end_incarnation
     incarnation_end(incarnation_end_cause cause) const;
@@ -71,8 +74,8 @@
     void replace(std::optional<std::int64_t> successor,
                  const std::string& evidence, instant now);
     /// Records that another incarnation answers under the worker's name, with
-    /// its listing.
-    void handle_successor(const call_answer& listing, instant sent_at,
+    /// its listing and the token of the call.
+    void handle_successor(const call_answer& listing, std::uint64_t token,
                           instant now, owner_output& out);
     [[nodiscard]] bool is_replaced() const { return is_replaced_; }
     /// Logs once what is lost with this incarnation, and why.
@@ -104,6 +107,9 @@
         /// This incarnation has listed it. An answer to a start call does not
         /// tell which incarnation has taken it.
         bool was_listed_ = false;
+        /// The listing of the incarnation that has replaced this one rules it
+        /// out there.
+        bool is_absent_ = false;
         /// When the worker confirmed that it will not start the run any more.
         std::optional<instant> blocked_at_;
         /// When its task was first seen to be done.
@@ -126,6 +132,7 @@
         std::variant<start_call, stop_call, hold_call> operation_;
         std::string address_;
         instant sent_at_{};
+        std::uint64_t token_ = 0;
     };
 
     void advance_run(const run_ref& run, run_entry& entry, instant now,
@@ -142,19 +149,22 @@
                        owner_output& out);
     void handle_lost_call(const open_call& call, const call_lost& lost,
                           instant now, owner_output& out);
+    /// Sends a call again that a later one of this owner has overtaken.
+    void repeat_overtaken(const open_call& call, instant now);
     void handle_start_answer(const start_call& call, const call_answer& answer,
                              instant now, owner_output& out);
     void handle_stop_result(const stop_call& call, const call_answer& answer,
                             instant now);
     void handle_stop_answer(const stop_call& call, instant now);
-    [[nodiscard]] static bool grants_lease(const open_call& call);
+    [[nodiscard]] static bool has_effect(const open_call& call);
     void handle_hold_answer(const hold_call& call, const call_answer& answer,
                             instant sent_at, instant now, owner_output& out);
     void reconcile(const call_answer& answer, instant sent_at, instant now,
                    owner_output& out);
     /// Handles the listing of the incarnation that has replaced this one.
-    void handle_successor_listing(const call_answer& answer, instant sent_at,
-                                  instant now, owner_output& out);
+    void handle_successor_listing(const call_answer& answer,
+                                  std::uint64_t token, instant now,
+                                  owner_output& out);
     /// Whether the run may be under way at the worker.
     [[nodiscard]] static bool may_exist(const run_entry& entry);
     /// Whether the next incarnation of the worker may have taken the run, or
@@ -169,6 +179,9 @@
     [[nodiscard]] duration age_of(const run_entry& entry) const;
     /// Whether starts cannot exceed a capacity that has changed meanwhile.
     [[nodiscard]] bool is_capacity_known(instant now) const;
+    /// Whether a restart must be noticed soon on a worker without runs in the
+    /// state.
+    [[nodiscard]] bool is_watched(instant now) const;
     /// Whether its listings have been whole, or not for long.
     [[nodiscard]] bool can_list_runs(instant now) const;
     [[nodiscard]] std::int64_t clock_at(instant now) const;
@@ -179,10 +192,9 @@
 
     const pool_state& state_;
     const owner_timing& timing_;
-    unanswered_calls& unanswered_calls_;
+    fencing_tokens& tokens_;
     worker_name worker_;
     std::int64_t incarnation_;
-    std::uint64_t term_;
     /// When to ask the worker for its clock if it has not reported it.
     instant clock_request_at_;
     std::optional<std::int64_t> clock_ms_;
@@ -205,10 +217,16 @@
     bool is_replaced_ = false;
     /// How that was noticed.
     std::string replaced_evidence_;
-    /// The incarnation that answers under the worker's name now, and whether
-    /// its last listing shows only runs of this one.
+    /// The incarnation that answers under the worker's name now, and the lowest
+    /// token that no call from before that had.
     std::optional<std::int64_t> successor_;
+    std::uint64_t successor_token_ = 0;
+    /// Whether its last listing shows only runs of this one, and no call from
+    /// before can add to it.
     bool is_successor_clean_ = false;
+    /// Nothing starts before the first listing: the worker may have carried out
+    /// calls that were sent to its earlier incarnations.
+    bool awaits_listing_ = false;
     instant backoff_until_{};
     std::set<job_id> failed_jobs_;
     instant last_failure_at_{};
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -50,21 +50,29 @@
         if (answer.verdict_ == call_verdict::other_incarnation)
             replace(std::nullopt, "another process at its address", now);
         else
-            handle_successor(answer, call.sent_at_, now, out);
+            handle_successor(answer, call.token_, now, out);
         return;
     }
+    bool is_fenced = answer.verdict_ == call_verdict::fenced;
+    bool is_overtaken = is_fenced && call.token_ < tokens_.token_for(worker_);
     if (is_replaced_) {
-        if (const auto* stop = std::get_if<stop_call>(&call.operation_))
+        if (is_overtaken)
+            repeat_overtaken(call, now);
+        else if (const auto* stop = std::get_if<stop_call>(&call.operation_))
             handle_stop_result(*stop, answer, now);
         return;
     }
     lost_calls_ = 0;
     last_contact_at_ = now;
-    is_fenced_ = is_fenced_ || answer.verdict_ == call_verdict::fenced;
     if (answer.clock_ms_) {
         clock_ms_ = answer.clock_ms_;
         clock_read_at_ = now;
     }
+    if (is_overtaken) {
+        repeat_overtaken(call, now);
+        return;
+    }
+    is_fenced_ = is_fenced_ || is_fenced;
     std::visit(overloaded{[&](const start_call& item) {
                               handle_start_answer(item, answer, now, out);
                           },
@@ -78,12 +86,41 @@
                call.operation_);
 }
 
-bool pool_owner::worker_session::grants_lease(const open_call& call)
+// The worker has done nothing for this call, since a call with a raised token
+// came first.
+void pool_owner::worker_session::repeat_overtaken(const open_call& call,
+                                                  instant now)
+{
+    if (std::holds_alternative<hold_call>(call.operation_)) {
+        acked_cursor_ = 0;
+        hold_requested_ = true;
+        next_hold_at_ = now;
+        return;
+    }
+    const auto* start = std::get_if<start_call>(&call.operation_);
+    const run_ref& run = start != nullptr
+                             ? start->run_
+                             : std::get<stop_call>(call.operation_).run_;
+    auto found = runs_.find(run);
+    if (found != runs_.end())
+        found->second.next_attempt_at_ = now;
+    else if (start == nullptr)
+        unknown_runs_.emplace(run, now);
+}
+
+bool pool_owner::worker_session::has_effect(const open_call& call)
 {
     const auto* hold = std::get_if<hold_call>(&call.operation_);
-    return hold != nullptr
-               ? hold->lease_until_ms_.has_value()
-               : std::holds_alternative<start_call>(call.operation_);
+    if (hold != nullptr)
+        return hold->lease_until_ms_ || hold->outcome_cursor_ > 0;
+    return std::holds_alternative<start_call>(call.operation_);
+}
+
+bool pool_owner::worker_session::has_open_effects() const
+{
+    return std::any_of(calls_.begin(), calls_.end(), [](const auto& item) {
+        return has_effect(item.second);
+    });
 }
 
 void pool_owner::worker_session::handle_lost_call(const open_call& call,
@@ -107,8 +144,8 @@
     is_unreachable_ =
         is_unreachable_ || (retire_deadline_ && lost.was_refused_);
     auto pause = timing_.retry_delay_ * std::min(lost_calls_, 4);
-    if (!not_sent && grants_lease(call))
-        unanswered_calls_.add_lease(worker_, incarnation_, now);
+    if (!not_sent && has_effect(call))
+        tokens_.record_lost_call(worker_, now);
     if (std::holds_alternative<hold_call>(call.operation_)) {
         acked_cursor_ = 0;
         next_hold_at_ = now + pause;
@@ -122,19 +159,15 @@
     } else {
         run = &std::get<stop_call>(call.operation_).run_;
     }
-    if (is_start && !not_sent)
-        unanswered_calls_.add_start(worker_, *run, now);
+    // A hold call without a wait is the fastest probe of the worker. It also
+    // makes the lost call void, and lists a run that has begun by then.
+    hold_requested_ = true;
     auto found = runs_.find(*run);
-    if (found == runs_.end()) {
-        if (unanswered_calls_.starts_for(worker_, now).contains(*run))
-            unknown_runs_.emplace(*run, now + pause);
+    if (found == runs_.end())
         return;
-    }
     found->second.next_attempt_at_ = now + pause;
     if (is_start && !not_sent)
         found->second.may_arrive_late_ = true;
-    // A hold call without a wait is the fastest probe of the worker.
-    hold_requested_ = true;
 }
 
 void pool_owner::worker_session::handle_start_answer(const start_call& call,
@@ -222,6 +255,11 @@
         return;
     }
     has_unread_outcomes_ = false;
+    if (awaits_listing_ && answer.incarnation_ == incarnation_) {
+        awaits_listing_ = false;
+        // A lease that was meant for an earlier incarnation may have arrived.
+        lease_end_ = std::max(lease_end_, now + longest_lease_time());
+    }
     if (call.wait_ == duration::zero())
         next_hold_at_ = now + ack_delay;
     record_outcomes batch{worker_, incarnation_, {}};
--- a/libs/pool/src/worker_session_successor.cpp
+++ b/libs/pool/src/worker_session_successor.cpp
@@ -17,7 +17,8 @@
 
 bool pool_owner::worker_session::may_exist(const run_entry& entry)
 {
-    return entry.phase_ != run_phase::unsent && entry.phase_ != run_phase::over;
+    return entry.phase_ != run_phase::unsent &&
+           entry.phase_ != run_phase::over && !entry.is_absent_;
 }
 
 // Calls name the worker and not its incarnation, so the next incarnation under
@@ -46,12 +47,11 @@
     for (auto& [run, entry] : runs_) {
         // What a successor may have taken, the next one may have as well.
         bool may_be_there =
-            successor &&
-            (is_replaced_ ? may_exist(entry) : may_outlive(run, entry));
+            successor && (is_replaced_ ? entry.phase_ != run_phase::over
+                                       : may_outlive(run, entry));
         if (entry.phase_ != run_phase::unsent && !may_be_there)
             entry.phase_ = run_phase::over;
-        if (may_be_there)
-            unanswered_calls_.add_start(worker_, run, now);
+        entry.is_absent_ = false;
         // The new incarnation knows of no stop.
         entry.blocked_at_.reset();
         entry.call_id_.reset();
@@ -62,19 +62,22 @@
     is_replaced_ = true;
     successor_ = successor;
     is_successor_clean_ = !successor;
-    for (const auto& item : calls_) {
-        if (grants_lease(item.second))
-            unanswered_calls_.add_lease(worker_, incarnation_, now);
-    }
+    if (has_open_effects())
+        tokens_.record_lost_call(worker_, now);
+    else
+        tokens_.raise(worker_);
+    successor_token_ = tokens_.token_for(worker_);
     // Answers that are still under way may come from an earlier incarnation.
     calls_.clear();
     hold_call_id_.reset();
     next_hold_at_ = {};
-    lease_end_ = std::max(lease_end_, now + longest_lease_time());
+    // A lease that arrives late ends by the clock of another incarnation.
+    instant last_arrival = std::max(now, tokens_.late_until(worker_));
+    lease_end_ = std::max(lease_end_, last_arrival + longest_lease_time());
 }
 
-// What the new incarnation may have taken is over once it has been stopped
-// there, or once the longest lease has passed. After a restart a worker obeys a
+// What the new incarnation may have taken is over once its listing rules it
+// out, or once the longest lease has passed. After a restart a worker obeys a
 // replaced owner until its first call from this one, so it is asked for what it
 // runs in any case.
 void pool_owner::worker_session::propose_replaced_end(instant now,
@@ -97,11 +100,10 @@
 void pool_owner::worker_session::advance_successor_hold(
     instant now, std::uint64_t& next_call, owner_output& out)
 {
-    bool has_blocked =
-        std::any_of(runs_.begin(), runs_.end(), [](const auto& item) {
-            return may_exist(item.second) && item.second.blocked_at_;
-        });
-    bool is_due = has_blocked || !is_successor_clean_;
+    bool may_have_runs =
+        std::any_of(runs_.begin(), runs_.end(),
+                    [](const auto& item) { return may_exist(item.second); });
+    bool is_due = may_have_runs || !is_successor_clean_;
     if (!is_due || hold_call_id_ || now < next_hold_at_)
         return;
     next_hold_at_ = now + successor_hold_interval;
@@ -110,22 +112,26 @@
 }
 
 void pool_owner::worker_session::handle_successor(const call_answer& listing,
-                                                  instant sent_at, instant now,
+                                                  std::uint64_t token,
+                                                  instant now,
                                                   owner_output& out)
 {
     replace(listing.incarnation_,
             "an answer of incarnation " + std::to_string(listing.incarnation_),
             now);
     if (successor_ == listing.incarnation_)
-        handle_successor_listing(listing, sent_at, now, out);
+        handle_successor_listing(listing, token, now, out);
 }
 
 void pool_owner::worker_session::handle_successor_listing(
-    const call_answer& answer, instant sent_at, instant now, owner_output& out)
+    const call_answer& answer, std::uint64_t token, instant now,
+    owner_output& out)
 {
     std::set<run_ref> running;
-    is_successor_clean_ =
-        answer.is_complete_ && answer.verdict_ == call_verdict::done;
+    // Calls from before its token can add nothing to this listing any more.
+    bool is_conclusive = answer.is_complete_ && token >= successor_token_ &&
+                         answer.verdict_ == call_verdict::done;
+    is_successor_clean_ = is_successor_clean_ || is_conclusive;
     for (const reported_run& row : answer.running_) {
         running.insert(row.run_);
         if (runs_.contains(row.run_))
@@ -140,10 +146,8 @@
         if (!may_exist(entry) || running.contains(run))
             continue;
         auto end = ended.find(run);
-        bool was_blocked = entry.blocked_at_ && *entry.blocked_at_ <= sent_at;
         if (end == ended.end()) {
-            if (was_blocked && answer.is_complete_)
-                entry.phase_ = run_phase::over;
+            entry.is_absent_ = is_conclusive;
         } else if (now >= entry.next_attempt_at_) {
             propose_run_end(run, end->second, out);
             entry.next_attempt_at_ = now + proposal_retry_time;
