pool: a task does not start while an earlier run of it is still listed

Cause: a run that the state holds no more was stopped when a worker listed it, but the planner did not know of it. Change: the tasks of such runs wait until they have ended or the longest lease after the last listing is over; the worker is asked until then, also a new incarnation. The planner has had such delays for tasks whose runs lapse. Evidence: 'a task does not start while an earlier run of it is under way' fails without the delay, a start goes out in the first 50 ms. Conclusion: does not rule out a run that nobody has listed yet.

--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -489,6 +489,10 @@
     input.accepted_at_ = accepted_at_;
     input.clearings_ = clearings_;
     input.restart_at_ = restart_at_;
+    for (const auto& item : sessions_) {
+        for (const run_ref& run : item.second->stray_runs(now))
+            input.restart_at_[run.task_] = now + replan_interval;
+    }
     for (const auto& [step, entry] : waits_)
         input.waiting_since_[step] = entry.since_;
     return input;
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -112,7 +112,8 @@
 bool pool_owner::worker_session::is_watched(instant now) const
 {
     bool may_ask = clock_ms_.has_value() || now > clock_request_at_;
-    return awaits_listing_ || (may_ask && now < tokens_.late_until(worker_));
+    return awaits_listing_ || !listed_unknown_.empty() ||
+           (may_ask && now < tokens_.late_until(worker_));
 }
 
 bool pool_owner::worker_session::can_list_runs(instant now) const
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -57,6 +57,12 @@
     void add_run_observations(planner_input& input) const;
     /// Returns the runs without progress for longer than the stall timeout.
     [[nodiscard]] std::vector<run_ref> stalled_runs(instant now) const;
+    /// Returns the runs under way that the state does not hold. Their tasks do
+    /// not start until these have ended.
+    [[nodiscard]] std::set<run_ref> stray_runs(instant now) const
+    {
+        return now > lease_end_ ? std::set<run_ref>() : listed_unknown_;
+    }
     [[nodiscard]] std::vector<std::uint64_t> open_calls() const;
     /// Whether an open call may change what an incarnation runs or reports,
     /// also one that it was not sent to.
@@ -179,8 +185,8 @@
     [[nodiscard]] duration age_of(const run_entry& entry) const;
     /// Whether starts cannot exceed a capacity that has changed meanwhile.
     [[nodiscard]] bool is_capacity_known(instant now) const;
-    /// Whether a restart must be noticed soon on a worker without runs in the
-    /// state.
+    /// Whether a restart or the end of a run must be noticed soon on a worker
+    /// without runs in the state.
     [[nodiscard]] bool is_watched(instant now) const;
     /// Whether its listings have been whole, or not for long.
     [[nodiscard]] bool can_list_runs(instant now) const;
@@ -234,7 +240,8 @@
     /// Runs that the state does not hold and that are to be stopped, with the
     /// time of the next attempt.
     std::map<run_ref, instant> unknown_runs_;
-    /// Those of the last listing.
+    /// Those of the last listing, also of the incarnation that has replaced
+    /// this one.
     std::set<run_ref> listed_unknown_;
     std::uint64_t runs_revision_ = 0;
     std::map<std::uint64_t, open_call> calls_;
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -325,6 +325,8 @@
     }
     for (const run_ref& run : unknown)
         unknown_runs_.emplace(run, now);
+    if (!unknown.empty())
+        lease_end_ = std::max(lease_end_, now + longest_lease_time());
     listed_unknown_ = std::move(unknown);
     for (const reported_outcome& item : answer.ended_)
         reported.insert(item.run_);
--- a/libs/pool/src/worker_session_successor.cpp
+++ b/libs/pool/src/worker_session_successor.cpp
@@ -128,6 +128,7 @@
     owner_output& out)
 {
     std::set<run_ref> running;
+    listed_unknown_.clear();
     // Calls from before its token can add nothing to this listing any more.
     bool is_conclusive = answer.is_complete_ && token >= successor_token_ &&
                          answer.verdict_ == call_verdict::done;
@@ -137,8 +138,11 @@
         if (runs_.contains(row.run_))
             continue;
         is_successor_clean_ = false;
+        listed_unknown_.insert(row.run_);
         unknown_runs_.emplace(row.run_, now);
     }
+    if (!listed_unknown_.empty())
+        lease_end_ = std::max(lease_end_, now + longest_lease_time());
     std::map<run_ref, run_outcome> ended;
     for (const reported_outcome& item : answer.ended_)
         ended.emplace(item.run_, item.outcome_);
--- a/libs/pool/test/worker_restart_test.cpp
+++ b/libs/pool/test/worker_restart_test.cpp
@@ -346,6 +346,39 @@
     CHECK(last_watched_at - lost_at < 16s);
 }
 
+// The task of a run that was found on a new incarnation started elsewhere while
+// that run was being stopped. Seen in the random runs in which calls outlive
+// restarts, seed 5 (issue 34).
+TEST_CASE("a task does not start while an earlier run of it is under way",
+          "[worker_restart]")
+{
+    owner_fixture pool;
+    worker_call hold =
+        pool.start_run_on_worker(pool_fixture::make_step(1, 1, false));
+    run_ref run{{job_id("a"), 0, 0, 0}, 1};
+    pool.state_.apply(end_unreported_run{
+        pool.name_of(0), 1, run, run_outcome::stopped, {}, {}});
+    pool.owner_.state_changed();
+    REQUIRE(pool.advance(1ms).empty());
+    call_answer listing;
+    listing.running_ = {{run, {}, 10}};
+    pool.answer(hold, listing);
+    for (int i = 0; i < 20; ++i) {
+        for (const worker_call& call : pool.advance(50ms)) {
+            CHECK_FALSE(std::holds_alternative<start_call>(call.operation_));
+            pool.answer(call, listing);
+        }
+    }
+    std::size_t starts = 0;
+    for (int i = 0; i < 20; ++i) {
+        for (const worker_call& call : pool.advance(50ms)) {
+            starts += std::holds_alternative<start_call>(call.operation_);
+            pool.answer(call);
+        }
+    }
+    CHECK(starts == 1);
+}
+
 // A worker that has restarted obeys a replaced owner again, which must not
 // repeat its starts there until it learns of its successor. Seen in the random
 // runs, seeds 160 and 263 (issue 31).
