pool: the log tells when a new incarnation is first asked, and what it runs

Cause: the time from the registration of a worker to its first listing, in which calls of before may still be carried out there, stood nowhere; stray runs of an incarnation that has replaced another were stopped without a line. Change: one line for each registered incarnation with that time; the line and the counter runs_listed_after_end also for the successor of an incarnation.

--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -35,7 +35,7 @@
     worker_name worker, std::int64_t incarnation, instant now,
     bool is_inherited, duration clock_wait)
     : state_(state), timing_(timing), tokens_(tokens),
-      worker_(std::move(worker)), incarnation_(incarnation),
+      worker_(std::move(worker)), incarnation_(incarnation), opened_at_(now),
       clock_request_at_(now + clock_wait), last_contact_at_(now)
 {
     lease_end_ = now + longest_lease_time();
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -167,6 +167,8 @@
                             instant sent_at, instant now, owner_output& out);
     void reconcile(const call_answer& answer, instant sent_at, instant now,
                    owner_output& out);
+    /// Stops runs that are listed and not in the state.
+    void set_stray_runs(std::set<run_ref> runs, instant now, owner_output& out);
     /// Handles the listing of the incarnation that has replaced this one.
     void handle_successor_listing(const call_answer& answer,
                                   std::uint64_t token, instant now,
@@ -201,6 +203,7 @@
     fencing_tokens& tokens_;
     worker_name worker_;
     std::int64_t incarnation_;
+    instant opened_at_;
     /// When to ask the worker for its clock if it has not reported it.
     instant clock_request_at_;
     std::optional<std::int64_t> clock_ms_;
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -257,6 +257,13 @@
     has_unread_outcomes_ = false;
     if (awaits_listing_ && answer.incarnation_ == incarnation_) {
         awaits_listing_ = false;
+        auto age =
+            std::chrono::floor<std::chrono::milliseconds>(now - opened_at_);
+        out.events_.push_back(
+            {worker_.str(),
+             "worker " + worker_.str() + " first lists its runs " +
+                 std::to_string(age.count()) + " ms after its registration: " +
+                 std::to_string(answer.running_.size()) + " under way"});
         // A lease that was meant for an earlier incarnation may have arrived.
         lease_end_ = std::max(lease_end_, now + longest_lease_time());
     }
@@ -285,6 +292,23 @@
     reconcile(answer, sent_at, now, out);
 }
 
+void pool_owner::worker_session::set_stray_runs(std::set<run_ref> runs,
+                                                instant now, owner_output& out)
+{
+    for (const run_ref& run : runs) {
+        unknown_runs_.emplace(run, now);
+        if (!listed_unknown_.contains(run))
+            out.events_.push_back({run.task_.job_.str(),
+                                   "run " + to_text(run) +
+                                       " is still listed by " + worker_.str() +
+                                       " after its end; stopping it",
+                                   "runs_listed_after_end"});
+    }
+    if (!runs.empty())
+        lease_end_ = std::max(lease_end_, now + longest_lease_time());
+    listed_unknown_ = std::move(runs);
+}
+
 // Reconciles the reported runs with those that may exist on the worker.
 void pool_owner::worker_session::reconcile(const call_answer& answer,
                                            instant sent_at, instant now,
@@ -315,19 +339,7 @@
         if (!row.checkpoint_.empty())
             entry.checkpoint_ = row.checkpoint_;
     }
-    for (const run_ref& run : unknown) {
-        if (!listed_unknown_.contains(run))
-            out.events_.push_back({run.task_.job_.str(),
-                                   "run " + to_text(run) +
-                                       " is still listed by " + worker_.str() +
-                                       " after its end; stopping it",
-                                   "runs_listed_after_end"});
-    }
-    for (const run_ref& run : unknown)
-        unknown_runs_.emplace(run, now);
-    if (!unknown.empty())
-        lease_end_ = std::max(lease_end_, now + longest_lease_time());
-    listed_unknown_ = std::move(unknown);
+    set_stray_runs(std::move(unknown), now, out);
     for (const reported_outcome& item : answer.ended_)
         reported.insert(item.run_);
     // What is missing in an incomplete listing may still be there.
--- a/libs/pool/src/worker_session_successor.cpp
+++ b/libs/pool/src/worker_session_successor.cpp
@@ -128,7 +128,7 @@
     owner_output& out)
 {
     std::set<run_ref> running;
-    listed_unknown_.clear();
+    std::set<run_ref> unknown;
     // Calls from before its token can add nothing to this listing any more.
     bool is_conclusive = answer.is_complete_ && token >= successor_token_ &&
                          answer.verdict_ == call_verdict::done;
@@ -138,11 +138,9 @@
         if (runs_.contains(row.run_))
             continue;
         is_successor_clean_ = false;
-        listed_unknown_.insert(row.run_);
-        unknown_runs_.emplace(row.run_, now);
+        unknown.insert(row.run_);
     }
-    if (!listed_unknown_.empty())
-        lease_end_ = std::max(lease_end_, now + longest_lease_time());
+    set_stray_runs(std::move(unknown), now, out);
     std::map<run_ref, run_outcome> ended;
     for (const reported_outcome& item : answer.ended_)
         ended.emplace(item.run_, item.outcome_);
