pool: an owner that begins again in its term makes its open calls void

All tokens rise now when the term is the same. Tests: 'an owner that begins again in its term goes on counting' demands higher tokens, on workers with an entry and without; it demanded equal ones before.

--- a/libs/pool/src/fencing_tokens.cpp
+++ b/libs/pool/src/fencing_tokens.cpp
@@ -21,14 +21,24 @@
 
 void fencing_tokens::begin(std::uint64_t term)
 {
-    // In the same term the workers have seen the counts so far.
-    if (term != term_) {
-        entries_.clear();
-        default_ = {};
+    // In the same term the workers have seen the counts so far, and calls may
+    // be open.
+    if (term == term_) {
+        default_.raise();
+        for (auto& item : entries_)
+            item.second.raise();
+        return;
     }
+    entries_.clear();
+    default_ = {};
     term_ = term;
 }
 
+void fencing_tokens::entry::raise()
+{
+    count_ = std::min(count_ + 1, max_count);
+}
+
 std::uint64_t fencing_tokens::token_for(const worker_name& worker) const
 {
     auto found = entries_.find(worker);
@@ -38,8 +48,7 @@
 
 void fencing_tokens::raise(const worker_name& worker)
 {
-    entry& item = entry_of(worker);
-    item.count_ = std::min(item.count_ + 1, max_count);
+    entry_of(worker).raise();
 }
 
 void fencing_tokens::record_lost_call(const worker_name& worker, instant now)
--- a/libs/pool/src/fencing_tokens.hpp
+++ b/libs/pool/src/fencing_tokens.hpp
@@ -14,7 +14,7 @@
 class fencing_tokens
 {
   public:
-    /// Counts anew in a higher term.
+    /// Counts anew in a higher term, and raises all tokens in the same one.
     void begin(std::uint64_t term);
     /// Returns the token of the next call to a worker.
     [[nodiscard]] std::uint64_t token_for(const worker_name& worker) const;
@@ -30,6 +30,8 @@
   private:
     struct entry
     {
+        void raise();
+
         std::uint64_t count_ = 0;
         instant late_until_{};
     };
--- a/libs/pool/test/fencing_tokens_test.cpp
+++ b/libs/pool/test/fencing_tokens_test.cpp
@@ -51,8 +51,10 @@
     tokens.begin(3);
     tokens.raise(first);
     std::uint64_t before = tokens.token_for(first);
+    std::uint64_t others = tokens.token_for(second);
     tokens.begin(3);
-    CHECK(tokens.token_for(first) == before);
+    CHECK(tokens.token_for(first) > before);
+    CHECK(tokens.token_for(second) > others);
 }
 
 TEST_CASE("a count that is used up stays below the next term",
