pool: what does not show that a stray run has ended

A run that the state holds no more and its worker still lists was forgotten, and its task or other work started beside it, on: an older listing that arrived later, a part of a listing, a fenced answer of a new incarnation, a deregistration, an end as done on a new incarnation, and a start that had been committed before. Other work started on the resources of a stray run (a worker over its capacity).

Cause: the set of stray runs was replaced by each listing, whatever it proved; only runs of the state needed a proof.

Change: only a whole listing that was asked for after the stray run was last listed shows its end; nothing starts on a worker that lists one or has not listed its runs yet; a worker that leaves waits for its end or its lease; after the close of a session the tasks wait 2 s, in which the next incarnation registers and lists them.

Ruled out: commands for stray runs in the replicated state, since only a restart together with a late call makes them.

--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -51,6 +51,10 @@
 // workers may have crashed, which shows only when they are back.
 constexpr duration relapse_delay = 2s;
 
+// How long the tasks of stray runs wait after the session of their worker was
+// closed: its next incarnation registers within this time and lists them.
+constexpr duration registration_delay = 2s;
+
 // Maximum number of workers named in a log message.
 constexpr std::size_t max_logged_workers = 3;
 
@@ -144,6 +148,8 @@
     // Their answers will not be seen.
     if (session.has_open_effects())
         tokens_->record_lost_call(session.worker(), now);
+    for (const run_ref& run : session.stray_runs(now))
+        restart_at_[run.task_] = now + registration_delay;
     for (std::uint64_t call : session.open_calls())
         calls_.erase(call);
     sessions_.erase(session.worker());
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -108,7 +108,13 @@
                    now - last_failure_at_ > timing_.quarantine_;
     return is_responsive && is_capacity_known(now) && trusted && clock_ms_ &&
            now >= backoff_until_ && !retire_deadline_ && !is_replaced_ &&
-           !is_fenced_ && !awaits_listing_ && can_list_runs(now);
+           !is_fenced_ && can_list_runs(now) && knows_all_runs(now);
+}
+
+// A stray run takes resources until it has ended.
+bool pool_owner::worker_session::knows_all_runs(instant now) const
+{
+    return !awaits_listing_ && stray_runs(now).empty();
 }
 
 // Calls from before may still reach its next incarnation.
@@ -335,7 +341,9 @@
         return;
     // Outcomes reported before are recorded first. A worker that is merely out
     // of reach may go on, so its runs end with their lease.
-    if (!runs_.empty() && !has_left_)
+    bool may_have_runs =
+        !runs_.empty() || (now <= lease_end_ && !knows_all_runs(now));
+    if (may_have_runs && !has_left_)
         return;
     next_incarnation_end_ = now + proposal_retry_time;
     out.observations_.push_back(incarnation_end(incarnation_end_cause::left));
@@ -416,7 +424,8 @@
     }
     bool to_send = entry.phase_ == run_phase::unsent ||
                    entry.phase_ == run_phase::unconfirmed;
-    if (!desired || !to_send || !clock_ms_ || is_lost)
+    bool must_wait = entry.phase_ == run_phase::unsent && !knows_all_runs(now);
+    if (!desired || !to_send || !clock_ms_ || is_lost || must_wait)
         return;
     entry.phase_ = run_phase::unconfirmed;
     start_call request{run, job.spec_.payload_, state_.checkpoint_of(run.task_),
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -169,8 +169,10 @@
                             instant sent_at, instant now, owner_output& out);
     void reconcile(const call_answer& answer, instant sent_at, instant now,
                    owner_output& out);
-    /// Stops runs that are listed and not in the state.
-    void set_stray_runs(std::set<run_ref> runs, instant now, owner_output& out);
+    /// Stops runs that are listed and not in the state. Unless the listing is
+    /// newer than those before and whole, it shows no end of others.
+    void update_stray_runs(std::set<run_ref> runs, bool replaces, instant now,
+                           owner_output& out);
     /// Handles the listing of the incarnation that has replaced this one.
     void handle_successor_listing(const call_answer& answer,
                                   std::uint64_t token, instant now,
@@ -189,6 +191,8 @@
     [[nodiscard]] duration age_of(const run_entry& entry) const;
     /// Whether starts cannot exceed a capacity that has changed meanwhile.
     [[nodiscard]] bool is_capacity_known(instant now) const;
+    /// Whether the state holds all runs that may be under way there.
+    [[nodiscard]] bool knows_all_runs(instant now) const;
     /// Whether a restart or the end of a run must be noticed soon on a worker
     /// without runs in the state.
     [[nodiscard]] bool is_watched(instant now) const;
@@ -248,6 +252,8 @@
     /// Those of the last listing, also of the incarnation that has replaced
     /// this one.
     std::set<run_ref> listed_unknown_;
+    /// When such a run was listed last.
+    instant unknown_listed_at_{};
     std::uint64_t runs_revision_ = 0;
     std::map<std::uint64_t, open_call> calls_;
     std::optional<std::uint64_t> hold_call_id_;
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -267,7 +267,8 @@
         return;
     }
     has_unread_outcomes_ = false;
-    if (awaits_listing_ && answer.incarnation_ == incarnation_) {
+    if (awaits_listing_ && answer.is_complete_ &&
+        answer.incarnation_ == incarnation_) {
         awaits_listing_ = false;
         auto age =
             std::chrono::floor<std::chrono::milliseconds>(now - opened_at_);
@@ -279,7 +280,9 @@
         // A lease that was meant for an earlier incarnation may have arrived.
         lease_end_ = std::max(lease_end_, now + longest_lease_time());
     }
-    if (call.wait_ == duration::zero())
+    if (awaits_listing_)
+        next_hold_at_ = now + timing_.call_timeout_;
+    else if (call.wait_ == duration::zero())
         next_hold_at_ = now + ack_delay;
     record_outcomes batch{worker_, incarnation_, {}};
     std::uint64_t cursor = state_.worker_at(worker_).outcome_cursor_;
@@ -304,8 +307,9 @@
     reconcile(answer, sent_at, now, out);
 }
 
-void pool_owner::worker_session::set_stray_runs(std::set<run_ref> runs,
-                                                instant now, owner_output& out)
+void pool_owner::worker_session::update_stray_runs(std::set<run_ref> runs,
+                                                   bool replaces, instant now,
+                                                   owner_output& out)
 {
     for (const run_ref& run : runs) {
         unknown_runs_.emplace(run, now);
@@ -316,9 +320,16 @@
                                        " after its end; stopping it",
                                    "runs_listed_after_end"});
     }
-    if (!runs.empty())
+    if (!runs.empty()) {
         lease_end_ = std::max(lease_end_, now + longest_lease_time());
-    listed_unknown_ = std::move(runs);
+        unknown_listed_at_ = now;
+    }
+    if (replaces) {
+        listed_unknown_ = std::move(runs);
+    } else {
+        listed_unknown_.merge(runs);
+        hold_requested_ = hold_requested_ || !listed_unknown_.empty();
+    }
 }
 
 // Reconciles the reported runs with those that may exist on the worker.
@@ -331,11 +342,11 @@
     for (const reported_run& row : answer.running_) {
         reported.insert(row.run_);
         auto found = runs_.find(row.run_);
-        if (found == runs_.end()) {
-            if (!state_.runs_on(worker_).contains(row.run_))
-                unknown.insert(row.run_);
+        // The state may have ended it since the last tick.
+        if (!state_.runs_on(worker_).contains(row.run_))
+            unknown.insert(row.run_);
+        if (found == runs_.end())
             continue;
-        }
         run_entry& entry = found->second;
         // After a gap in the hold calls nothing is known of the time between.
         bool was_watched = entry.phase_ == run_phase::confirmed &&
@@ -351,7 +362,10 @@
         if (!row.checkpoint_.empty())
             entry.checkpoint_ = row.checkpoint_;
     }
-    set_stray_runs(std::move(unknown), now, out);
+    // Answers may overtake each other.
+    bool is_newest = sent_at >= unknown_listed_at_;
+    update_stray_runs(std::move(unknown), answer.is_complete_ && is_newest, now,
+                      out);
     for (const reported_outcome& item : answer.ended_)
         reported.insert(item.run_);
     // What is missing in an incomplete listing may still be there.
--- a/libs/pool/src/worker_session_successor.cpp
+++ b/libs/pool/src/worker_session_successor.cpp
@@ -140,10 +140,16 @@
         is_successor_clean_ = false;
         unknown.insert(row.run_);
     }
-    set_stray_runs(std::move(unknown), now, out);
+    bool is_whole =
+        answer.is_complete_ && answer.verdict_ == call_verdict::done;
+    update_stray_runs(std::move(unknown), is_whole, now, out);
     std::map<run_ref, run_outcome> ended;
-    for (const reported_outcome& item : answer.ended_)
+    for (const reported_outcome& item : answer.ended_) {
         ended.emplace(item.run_, item.outcome_);
+        // The session of that incarnation records it.
+        if (item.outcome_ == run_outcome::done && !runs_.contains(item.run_))
+            listed_unknown_.insert(item.run_);
+    }
     for (auto& [run, entry] : runs_) {
         if (!may_exist(entry) || running.contains(run))
             continue;
