state: a record of a job does not replace a newer one

Callers could see a job that may run only once start twice. The record of a start is written beside the record from before it ("acquiring"), which may be under way or repeated at another voter. If it committed last, the state had lost the start, and an owner that was replaced before its next write of that job had a successor which started the job again.

Ruled out: writing the start through the queue of the job's records. The client of the state may still repeat a command whose response was lost.

Change: the state refuses a record of an earlier attempt, and "acquiring" for an attempt that has left that state; neither is ever sent later than what it would replace. fake_pool stores records by the same rule. Other late records of one attempt ("running" after "queued") are stored as before.

Conclusion: a recorded start is no longer lost to the record from before it.

--- a/libs/scheduling/include/dandelioncrank/scheduling/scheduling_types.hpp
+++ b/libs/scheduling/include/dandelioncrank/scheduling/scheduling_types.hpp
@@ -183,6 +183,11 @@
     }
 };
 
+/// Whether the record is from before the stored one, of the same job: a write
+/// that was delayed or repeated.
+[[nodiscard]] bool is_outdated(const job_record& record,
+                               const job_record& stored);
+
 /// Faults that tests inject to show that the random runs detect them.
 enum class scheduling_fault
 {
--- a/libs/scheduling/src/scheduling_types.cpp
+++ b/libs/scheduling/src/scheduling_types.cpp
@@ -34,6 +34,16 @@
     return value >= job_state::completed;
 }
 
+// An attempt is acquiring first and never again, so a start that has been
+// recorded stays recorded.
+bool is_outdated(const job_record& record, const job_record& stored)
+{
+    bool is_earlier_state = record.state_ == job_state::acquiring &&
+                            stored.state_ != job_state::acquiring;
+    return record.attempt_ < stored.attempt_ ||
+           (record.attempt_ == stored.attempt_ && is_earlier_state);
+}
+
 std::string to_text(part_state value)
 {
     switch (value) {
--- a/libs/scheduling/test/fake_pool.hpp
+++ b/libs/scheduling/test/fake_pool.hpp
@@ -396,8 +396,9 @@
     {
         std::uint64_t epoch = scheduling_.epoch_;
         at(now_ + options_.write_delay_, [this, record, epoch] {
-            if (epoch == scheduling_.epoch_)
-                observed_jobs_.at(record.spec_.id_).persisted_ = record;
+            job_record& stored = observed_jobs_.at(record.spec_.id_).persisted_;
+            if (epoch == scheduling_.epoch_ && !is_outdated(record, stored))
+                stored = record;
         });
     }
 
--- a/libs/scheduling/test/zone_scheduler_test.cpp
+++ b/libs/scheduling/test/zone_scheduler_test.cpp
@@ -505,6 +505,27 @@
     }
 }
 
+// The record of a start was overwritten by the one from before it, so a new
+// scheduler started a job a second time that may run only once.
+TEST_CASE("a recorded start is not overwritten by an earlier record",
+          "[scheduler]")
+{
+    auto moment = GENERATE(range(0, 20));
+    pool_options options;
+    options.write_delay_ = 300ms;
+    options.delay_ = 50ms;
+    fake_pool pool(options, make_options(), make_configuration());
+    auto spec = make_job("j", "a", 16, 1, adjacency::rack);
+    spec.repeatable_ = false;
+    pool.submit(spec, 60s, start + 5s);
+    instant replaced = start + 5s + moment * 50ms;
+    for (int index = 0; index < 12; ++index)
+        pool.partition(index, replaced, 1min);
+    pool.replace_scheduler(replaced);
+    pool.run_to_end(start + 10min);
+    CHECK(observed(pool, "j").starts_ <= 1);
+}
+
 TEST_CASE("a lost rack is reported as a shortage per team", "[scheduler]")
 {
     configuration rules = make_configuration();
--- a/libs/state/src/replicated_state.cpp
+++ b/libs/state/src/replicated_state.cpp
@@ -34,8 +34,10 @@
     auto owner = zones_.find(change.zone_);
     bool outdated = !change.is_new_ && owner != zones_.end() &&
                     change.epoch_ < owner->second.epoch_;
-    bool ended = found != jobs_.end() && is_final(found->second.record_.state_);
-    if (outdated || ended) {
+    bool superseded = found != jobs_.end() &&
+                      (is_final(found->second.record_.state_) ||
+                       is_outdated(change.record_, found->second.record_));
+    if (outdated || superseded) {
         job_result result;
         if (found != jobs_.end())
             result.record_ = found->second.record_;
--- a/libs/state/test/replicated_state_test.cpp
+++ b/libs/state/test/replicated_state_test.cpp
@@ -141,6 +141,33 @@
             .accepted_);
 }
 
+// Writes of one owner can commit in another order than they were sent in; a
+// successor would start a job again that may run only once.
+TEST_CASE("a late record does not overwrite a recorded start", "[state]")
+{
+    replicated_state state;
+    zone_name zone("z");
+    auto owner =
+        apply<zone_result>(state, acquire_zone{zone, host_name("h1"), 1});
+    auto put = [&](job_state next, std::uint64_t attempt) {
+        job_record record;
+        record.spec_.id_ = job_id("j");
+        record.state_ = next;
+        record.attempt_ = attempt;
+        return apply<job_result>(state,
+                                 put_job{zone, record, owner.epoch_, false})
+            .accepted_;
+    };
+    CHECK(put(job_state::queued, 0));
+    CHECK(put(job_state::running, 1));
+    CHECK_FALSE(put(job_state::acquiring, 1));
+    CHECK_FALSE(put(job_state::queued, 0));
+    CHECK(state.jobs().at(job_id("j")).record_.state_ == job_state::running);
+    CHECK(put(job_state::queued, 1));
+    CHECK(put(job_state::acquiring, 2));
+    CHECK(put(job_state::completed, 2));
+}
+
 TEST_CASE("a snapshot restores the same state", "[state]")
 {
     replicated_state state;
