--- a/review/test/minion.cpp
+++ b/review/test/minion.cpp
@@ -229,7 +229,7 @@
 
     // --- Work. The mutex is held.
 
-    void end(const std::string& task, const std::string& how)
+    void end(std::string task, const std::string& how)
     {
         auto found = running_.find(task);
         if (found == running_.end())
