Pool: a job has started when a worker says so

Cause: the command that decides a start set the job's flag; it is committed before any call to a worker, and nothing took it back.

Ruled out: the reads of the leader (it answered from committed state) and an answer of the workers (their processes were stopped).

Change: the flag follows from what workers say: an answered start, a listing, an outcome, also of the next incarnation. The owner commits it once a job (confirm_start), in entries that are written anyway, so a later owner knows it. The number of waiting jobs is kept by queue, where each call walked all active jobs.

Conclusion: shown as started means that a worker has said so. What a worker begins without any answer stays unknown until it is listed.

--- a/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
@@ -118,6 +118,7 @@
 
 /// Starts tasks of one step under one run number. It is committed before any
 /// start request is sent, so that every leader knows each run that may exist.
+/// Whether a worker has begun the run shows later; see confirm_start.
 struct start_run
 {
     job_id job_;
@@ -168,9 +169,24 @@
     }
 };
 
-using pool_command = std::variant<accept_job, cancel_job, put_config,
-                                  put_worker, end_incarnation, start_run,
-                                  record_outcomes, end_unreported_run>;
+/// A worker has confirmed that this run is, or was, under way. Needed only
+/// while nothing else shows that its job has started.
+struct confirm_start
+{
+    run_ref run_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(run_);
+    }
+};
+
+/// The order is that of the stored commands; new ones go last.
+using pool_command =
+    std::variant<accept_job, cancel_job, put_config, put_worker,
+                 end_incarnation, start_run, record_outcomes,
+                 end_unreported_run, confirm_start>;
 
 /// The commands of one log entry; applied in order.
 using pool_batch = std::vector<pool_command>;
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -144,6 +144,8 @@
     void open_session(const worker_name& worker, std::int64_t incarnation,
                       instant now, bool is_inherited);
     void close_session(const worker_session& session, instant now);
+    /// Proposes what a worker has confirmed, once for each job.
+    void propose_confirmed_starts(worker_session& session, instant now);
     /// Judges once why an incarnation was lost that has been replaced.
     void judge_loss(worker_session& session, instant now);
     [[nodiscard]] std::unique_ptr<loss_monitor> make_loss_monitor() const;
@@ -174,6 +176,8 @@
     std::uint64_t seen_run_changes_ = 0;
     std::unordered_map<std::uint64_t, worker_name> calls_;
     std::map<job_id, instant> accepted_at_;
+    /// When the start of a job was last proposed as confirmed.
+    std::map<job_id, instant> start_proposed_at_;
     std::map<step_key, clearing> clearings_;
     std::map<step_key, wait_entry> waits_;
     std::unique_ptr<loss_monitor> losses_;
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -35,7 +35,7 @@
     /// Request identifier of the call that stored it.
     std::string accepted_by_;
     job_phase phase_ = job_phase::open;
-    /// Whether any task has been started.
+    /// Whether a worker has begun any task, as far as is known.
     bool has_started_ = false;
     occurrence_table occurrences_;
     /// Why it has failed; empty if it has not.
@@ -159,7 +159,7 @@
     {
         return notices_;
     }
-    /// Number of jobs of a queue without any started task.
+    /// Number of jobs of a queue of which no worker has begun a task.
     [[nodiscard]] std::uint64_t waiting_jobs(const std::string& queue) const;
     /// Memory that the jobs need at the peak, in bytes; see state_weight.hpp.
     [[nodiscard]] std::uint64_t weight() const { return weight_; }
@@ -204,6 +204,7 @@
     pool_reply handle(const start_run& command);
     pool_reply handle(const record_outcomes& command);
     pool_reply handle(const end_unreported_run& command);
+    pool_reply handle(const confirm_start& command);
 
     [[nodiscard]] bool may_start(const job_record& job,
                                  const start_run& command) const;
@@ -227,6 +228,9 @@
     [[nodiscard]] loss_record& losses_at(const task_ref& task);
     [[nodiscard]] exposure make_exposure(const exposed_run& item) const;
     void finish(job_record& job, job_phase phase);
+    void mark_started(const job_id& id);
+    /// Updates the number of waiting jobs when one starts or stops waiting.
+    void count_waiting(const job_record& job, int change);
     void add_notice(const job_id& job, std::string message,
                     const char* counter);
     void refresh_job(const job_id& id);
@@ -257,6 +261,8 @@
 
     // Derived from the above.
     std::uint64_t weight_ = 0;
+    /// By queue.
+    std::unordered_map<std::string, std::uint64_t> waiting_;
     std::set<job_id> active_;
     std::unordered_map<worker_name, worker_runs> runs_;
     std::unordered_map<job_id, job_record*> job_index_;
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -178,6 +178,7 @@
     due_.clear();
     calls_.clear();
     accepted_at_.clear();
+    start_proposed_at_.clear();
     clearings_.clear();
     waits_.clear();
     restart_at_.clear();
@@ -236,17 +237,36 @@
             has_name && session->incarnation() == successor.incarnation_;
         if (is_same || (!has_name && session->address() != successor.address_))
             continue;
-        if (has_name)
+        if (has_name) {
             session->handle_successor(listing, token, now, output_);
-        else
+            propose_confirmed_starts(*session, now);
+        } else {
             session->replace(
                 std::nullopt,
                 "worker " + successor.name_.str() + " at its address", now);
+        }
         judge_loss(*session, now);
         due_.insert(name);
     }
 }
 
+// The workers of a job answer together, so most of what they confirm is known
+// from the first answer.
+void pool_owner::propose_confirmed_starts(worker_session& session, instant now)
+{
+    for (const run_ref& run : session.take_confirmed_starts()) {
+        auto [found, is_new] =
+            start_proposed_at_.try_emplace(run.task_.job_, now);
+        if (!is_new && now - found->second < proposal_retry_time)
+            continue;
+        found->second = now;
+        output_.observations_.push_back(confirm_start{run});
+        output_.events_.push_back(
+            {run.task_.job_.str(), "job has started with run " + to_text(run) +
+                                       " on " + session.worker().str()});
+    }
+}
+
 void pool_owner::judge_loss(worker_session& session, instant now)
 {
     if (!session.is_replaced() || session.verdict())
@@ -301,6 +321,7 @@
     if (session == sessions_.end() || !is_current(*session->second))
         return;
     session->second->handle_result(call, result, now, output_);
+    propose_confirmed_starts(*session->second, now);
     judge_loss(*session->second, now);
     due_.insert(session->first);
     is_dirty_ = true;
@@ -486,6 +507,10 @@
     std::erase_if(accepted_at_, [this](const auto& item) {
         return !state_.active_jobs().contains(item.first);
     });
+    std::erase_if(start_proposed_at_, [this](const auto& item) {
+        const job_record* job = state_.find_job(item.first);
+        return job == nullptr || job->is_final() || job->has_started_;
+    });
     for (const job_id& id : state_.active_jobs()) {
         auto [found, is_new] = accepted_at_.try_emplace(id, now);
         if (!is_new)
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -26,6 +26,25 @@
 // Number of notices that are kept for an observer of the state.
 constexpr std::size_t max_kept_notices = 1024;
 
+// Whether an end that was not reported in a listing of its own incarnation
+// shows that a worker had begun the run.
+bool is_end_of_begun_run(run_outcome outcome)
+{
+    switch (outcome) {
+    case run_outcome::done:
+    case run_outcome::failed:
+    case run_outcome::broken:
+    case run_outcome::alone:
+        return true;
+    case run_outcome::stopped:
+    case run_outcome::lapsed:
+    case run_outcome::refused:
+    case run_outcome::lost:
+        break;
+    }
+    return false;
+}
+
 pool_reply refusal(access_verdict verdict)
 {
     return verdict == access_verdict::unknown_key ? pool_reply::unknown_key
@@ -98,6 +117,7 @@
     auto stored = jobs_.emplace(id, std::move(job)).first;
     job_index_.emplace(id, &stored->second);
     active_.insert(id);
+    count_waiting(stored->second, 1);
     update_weight(stored->second);
     return pool_reply::applied;
 }
@@ -202,6 +222,10 @@
     if (found == workers_.end() ||
         found->second.info_.incarnation_ != command.incarnation_)
         return pool_reply::unchanged;
+    for (const exposed_run& item : command.exposed_) {
+        if (item.is_confirmed_)
+            mark_started(item.run_.task_.job_);
+    }
     record_loss(found->second, command);
     std::set<run_ref> lost = runs_on(command.worker_);
     std::map<run_ref, std::string> checkpoints;
@@ -283,7 +307,6 @@
         job.occurrences_.open(command.occurrence_, job.spec_.steps_)
             .steps_[command.step_];
     update_weight(job);
-    job.has_started_ = true;
     for (const task_assignment& assignment : command.assignments_) {
         task_record& task = step.tasks_[assignment.index_];
         task.run_ = command.run_;
@@ -311,6 +334,7 @@
         if (item.sequence_ <= found->second.outcome_cursor_)
             continue;
         found->second.outcome_cursor_ = item.sequence_;
+        mark_started(item.run_.task_.job_);
         if (runs_on(command.worker_).contains(item.run_))
             end_run(command.worker_, item.run_, item.outcome_,
                     {item.checkpoint_, item.run_.run_, true});
@@ -328,6 +352,9 @@
                    runs_on(command.worker_).contains(command.run_);
     if (!current)
         return pool_reply::unchanged;
+    if (command.age_ > duration::zero() ||
+        is_end_of_begun_run(command.outcome_))
+        mark_started(command.run_.task_.job_);
     if (command.outcome_ == run_outcome::lapsed)
         record_lapse(found->second, {command.run_, command.age_,
                                      command.age_ > duration::zero()});
@@ -336,6 +363,31 @@
     return pool_reply::applied;
 }
 
+pool_reply pool_state::handle(const confirm_start& command)
+{
+    mark_started(command.run_.task_.job_);
+    return pool_reply::applied;
+}
+
+void pool_state::mark_started(const job_id& id)
+{
+    auto found = job_index_.find(id);
+    if (found == job_index_.end() || found->second->has_started_)
+        return;
+    job_record& job = *found->second;
+    if (!job.is_final())
+        count_waiting(job, -1);
+    job.has_started_ = true;
+}
+
+void pool_state::count_waiting(const job_record& job, int change)
+{
+    auto entry = waiting_.try_emplace(job.queue_.name_, 0).first;
+    entry->second += static_cast<std::uint64_t>(change);
+    if (entry->second == 0)
+        waiting_.erase(entry);
+}
+
 void pool_state::end_run(const worker_name& worker, const run_ref& run,
                          run_outcome outcome,
                          const checkpoint_record& checkpoint)
@@ -455,6 +507,8 @@
 
 void pool_state::finish(job_record& job, job_phase phase)
 {
+    if (!job.has_started_)
+        count_waiting(job, -1);
     job.phase_ = phase;
     final_jobs_.add(job.spec_.id_);
 }
@@ -596,13 +650,8 @@
 
 std::uint64_t pool_state::waiting_jobs(const std::string& queue) const
 {
-    std::uint64_t count = 0;
-    for (const job_id& id : active_) {
-        const job_record& job = job_at(id);
-        count +=
-            job.queue_.name_ == queue && !job.has_started_ && !job.is_final();
-    }
-    return count;
+    auto found = waiting_.find(queue);
+    return found == waiting_.end() ? 0 : found->second;
 }
 
 const step_spec& pool_state::spec_of(const task_ref& task) const
@@ -669,8 +718,11 @@
     runs_.clear();
     job_index_.clear();
     weight_ = 0;
+    waiting_.clear();
     for (auto& [id, job] : jobs_) {
         job_index_.emplace(id, &job);
+        if (!job.is_final() && !job.has_started_)
+            count_waiting(job, 1);
         for (const auto& item : job.occurrences_.records())
             rebuild_runs(job, item.first);
         if (!job.is_final() || job.occurrences_.have_runs())
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -7,6 +7,8 @@
 #include <deque>
 #include <optional>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace dandelioncrank::pool {
 
@@ -63,6 +65,12 @@
     {
         return now > lease_end_ ? std::set<run_ref>() : listed_unknown_;
     }
+    /// Returns, once each, runs that the worker has confirmed while nothing in
+    /// the state showed that their job had started.
+    [[nodiscard]] std::vector<run_ref> take_confirmed_starts()
+    {
+        return std::exchange(confirmed_starts_, {});
+    }
     [[nodiscard]] std::vector<std::uint64_t> open_calls() const;
     /// Whether an open call may change what an incarnation runs or reports,
     /// also one that it was not sent to.
@@ -187,6 +195,7 @@
     void propose_replaced_end(instant now, owner_output& out);
     void propose_run_end(const run_ref& run, run_outcome outcome,
                          owner_output& out);
+    void note_confirmed(const run_ref& run);
     /// How long a run has certainly been under way.
     [[nodiscard]] duration age_of(const run_entry& entry) const;
     /// Whether starts cannot exceed a capacity that has changed meanwhile.
@@ -254,6 +263,7 @@
     std::set<run_ref> listed_unknown_;
     /// When such a run was listed last.
     instant unknown_listed_at_{};
+    std::vector<run_ref> confirmed_starts_;
     std::uint64_t runs_revision_ = 0;
     std::map<std::uint64_t, open_call> calls_;
     std::optional<std::uint64_t> hold_call_id_;
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -197,6 +197,7 @@
         entry.progress_at_ = now;
         if (!entry.confirmed_at_)
             entry.confirmed_at_ = now;
+        note_confirmed(call.run_);
         return;
     case call_verdict::outdated:
         // The run has ended there or is blocked; the next hold call tells.
@@ -228,6 +229,13 @@
     entry.phase_ = run_phase::unsent;
 }
 
+void pool_owner::worker_session::note_confirmed(const run_ref& run)
+{
+    const job_record* job = state_.find_job(run.task_.job_);
+    if (job != nullptr && !job->is_final() && !job->has_started_)
+        confirmed_starts_.push_back(run);
+}
+
 void pool_owner::worker_session::handle_stop_result(const stop_call& call,
                                                     const call_answer& answer,
                                                     instant now)
@@ -341,6 +349,7 @@
     std::set<run_ref> unknown;
     for (const reported_run& row : answer.running_) {
         reported.insert(row.run_);
+        note_confirmed(row.run_);
         auto found = runs_.find(row.run_);
         // The state may have ended it since the last tick.
         if (!state_.runs_on(worker_).contains(row.run_))
--- a/libs/pool/src/worker_session_successor.cpp
+++ b/libs/pool/src/worker_session_successor.cpp
@@ -135,6 +135,7 @@
     is_successor_clean_ = is_successor_clean_ || is_conclusive;
     for (const reported_run& row : answer.running_) {
         running.insert(row.run_);
+        note_confirmed(row.run_);
         if (runs_.contains(row.run_))
             continue;
         is_successor_clean_ = false;
