Pool: reject jobs that no state can hold, and align replicas at an upgrade

Change: such a job is rejected as invalid, with the reason; commands of earlier builds, which carry no limit, do not advance the time.

--- a/libs/control/src/client_service.cpp
+++ b/libs/control/src/client_service.cpp
@@ -163,6 +163,13 @@
     }
     if (state().find_job(call.spec_->id_) != nullptr)
         return make_response(client_call_outcome::done);
+    // It would not fit into an empty state either.
+    if (pool::initial_weight_of(*call.spec_) > weight_limit_) {
+        client_response response = make_response(client_call_outcome::invalid);
+        response.fault_ = "the job is larger than the memory for the state; "
+                          "submit it as several jobs";
+        return response;
+    }
     return pool::accept_job{*call.spec_, call.access_, wall_milliseconds(),
                             call.request_id_, weight_limit_};
 }
--- a/libs/control/test/client_service_test.cpp
+++ b/libs/control/test/client_service_test.cpp
@@ -325,3 +325,17 @@
     cancel.spec_.reset();
     CHECK(leader.serve(cancel).outcome_ == client_call_outcome::done);
 }
+
+// Such a job would be asked to come back for ever.
+TEST_CASE("a job that no state can hold is rejected as invalid",
+          "[client_service]")
+{
+    leader_fixture leader(16 * 1024);
+    leader.configure(1, {"key-1"});
+    client_call call = leader_fixture::make_submit("entry-1");
+    call.spec_->steps_[0].count_ = 1000;
+    client_response response = leader.serve(call);
+    CHECK(response.outcome_ == client_call_outcome::invalid);
+    CHECK(!response.fault_.empty());
+    CHECK(leader.state().active_jobs().empty());
+}
--- a/libs/pool/include/dandelioncrank/pool/state_weight.hpp
+++ b/libs/pool/include/dandelioncrank/pool/state_weight.hpp
@@ -17,6 +17,9 @@
 /// A function of the record alone, so that replicas and restarted hosts agree.
 [[nodiscard]] std::uint64_t weight_of(const job_record& job);
 
+/// What a job counts at least when it is accepted.
+[[nodiscard]] std::uint64_t initial_weight_of(const job_spec& spec);
+
 /// What one more occurrence under way adds.
 [[nodiscard]] std::uint64_t weight_of_occurrence(const job_spec& spec);
 
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -94,7 +94,10 @@
 pool_reply pool_state::handle(const accept_job& command)
 {
     const job_id& id = command.spec_.id_;
-    final_jobs_.advance(command.accepted_ms_);
+    // Commands of earlier builds may be part of a snapshot that has no time, so
+    // they do not count on any replica.
+    if (command.weight_limit_ > 0)
+        final_jobs_.advance(command.accepted_ms_);
     auto known = jobs_.find(id);
     // Repetition of a call that is already stored.
     if (known != jobs_.end() && known->second.accepted_by_ == command.request_)
--- a/libs/pool/src/state_weight.cpp
+++ b/libs/pool/src/state_weight.cpp
@@ -59,21 +59,28 @@
     return result;
 }
 
+std::uint64_t initial_weight_of(const job_spec& spec)
+{
+    std::uint64_t result = open_job_size.weight() +
+                           weight_of_text(spec.id_.str()) +
+                           weight_of_text(spec.payload_);
+    for (const step_spec& step : spec.steps_)
+        result += weight_of_step(step);
+    return result + weight_of_occurrence(spec);
+}
+
 std::uint64_t weight_of(const job_record& job)
 {
     std::uint64_t texts =
-        weight_of_text(job.spec_.id_.str()) +
-        weight_of_text(job.spec_.payload_) + weight_of_text(job.queue_.name_) +
-        weight_of_text(job.team_.str()) + weight_of_text(job.accepted_by_) +
-        weight_of_text(job.failure_);
+        weight_of_text(job.queue_.name_) + weight_of_text(job.team_.str()) +
+        weight_of_text(job.accepted_by_) + weight_of_text(job.failure_);
     if (job.spec_.steps_.empty())
-        return final_job_size.weight() + texts;
-    std::uint64_t result = open_job_size.weight() + texts;
-    for (const step_spec& step : job.spec_.steps_)
-        result += weight_of_step(step);
-    std::size_t occurrences =
-        std::max<std::size_t>(1, job.occurrences_.records().size());
-    return result + occurrences * weight_of_occurrence(job.spec_);
+        return final_job_size.weight() + weight_of_text(job.spec_.id_.str()) +
+               texts;
+    std::size_t others =
+        std::max<std::size_t>(1, job.occurrences_.records().size()) - 1;
+    return initial_weight_of(job.spec_) +
+           others * weight_of_occurrence(job.spec_) + texts;
 }
 
 } // namespace dandelioncrank::pool
--- a/libs/pool/test/state_weight_test.cpp
+++ b/libs/pool/test/state_weight_test.cpp
@@ -12,6 +12,36 @@
 
 constexpr std::uint64_t small_limit = 1024 * 1024;
 
+/// A job and a state as builds up to 9a7bef3 stored them.
+struct earlier_job
+{
+    job_record job_;
+    std::vector<occurrence_record> occurrences_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(job_.spec_, job_.queue_, job_.team_, job_.accepted_ms_,
+                job_.accepted_by_, job_.phase_, job_.has_started_, occurrences_,
+                job_.failure_, job_.was_given_up_);
+    }
+};
+
+struct earlier_state
+{
+    pool_config config_;
+    std::map<job_id, earlier_job> jobs_;
+    std::map<worker_name, worker_record> workers_;
+    std::vector<job_id> final_jobs_;
+    std::map<worker_name, std::int64_t> ended_incarnations_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(config_, jobs_, workers_, final_jobs_, ended_incarnations_);
+    }
+};
+
 /// Submits jobs against a limit, at a wall-clock time.
 class limited_pool : public pool_fixture
 {
@@ -192,6 +222,45 @@
     CHECK(!pool.plan().starts_.empty());
 }
 
+TEST_CASE("a snapshot of an earlier build is read", "[state_weight]")
+{
+    pool_fixture pool(1);
+    earlier_state stored;
+    stored.workers_ = pool.state_.workers();
+    earlier_job& job = stored.jobs_[job_id("a")];
+    job.job_.spec_ = limited_pool::make_spec(2);
+    job.job_.spec_.id_ = job_id("a");
+    job.job_.spec_.repeats_ = 3;
+    job.job_.has_started_ = true;
+    job.occurrences_.resize(3);
+    for (occurrence_record& item : job.occurrences_) {
+        item.steps_.resize(1);
+        item.steps_[0].tasks_.resize(2);
+    }
+    for (task_record& task : job.occurrences_[0].steps_[0].tasks_)
+        task = {1, 0, true, {}, 0};
+    job.occurrences_[1].steps_[0].tasks_[0] = {2, 0, false,
+                                               pool_fixture::name_of(0), 1};
+    earlier_job& final_job = stored.jobs_[job_id("b")];
+    final_job = job;
+    final_job.job_.spec_.id_ = job_id("b");
+    final_job.job_.phase_ = job_phase::completed;
+    final_job.occurrences_.resize(1);
+    stored.final_jobs_ = {job_id("b")};
+
+    pool.state_.restore(to_wire(stored));
+    const job_record& read = *pool.state_.find_job(job_id("a"));
+    CHECK(read.has_started_);
+    CHECK(read.occurrences_.is_done(0));
+    CHECK(read.occurrences_.records().size() == 1);
+    CHECK(read.occurrences_.at(1).steps_[0].tasks_[0].run_ == 2);
+    CHECK(pool.state_.runs_on(pool_fixture::name_of(0)).size() == 1);
+    CHECK(pool.state_.active_jobs() == std::set<job_id>{job_id("a")});
+    CHECK(pool.state_.find_job(job_id("b"))->phase_ == job_phase::completed);
+    CHECK(pool.state_.waiting_jobs("") == 0);
+    CHECK(pool.state_.weight() > 0);
+}
+
 // All occurrences that are due at a time would start beside each other.
 TEST_CASE("a full state starts one occurrence of a job at a time",
           "[state_weight]")
