Pool: report room once, and copy no task records in a plan

Cause, from reading the change: beside large jobs that are refused, small ones still find room, and each change of that wrote a line; a plan copied each task record; the gauges were set in every turn of the loop.

Change: room is reported again below 90 % of the limit; plans refer to the records; the gauges follow changes of the weight.

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -84,6 +84,8 @@
     void log_events(const std::vector<pool::owner_event>& events);
     void send_calls(const std::vector<pool::worker_call>& calls);
     void tick();
+    /// Updates the gauges of the state's weight.
+    void report_weight();
 
     [[nodiscard]] bool is_leader() const { return replica_->is_leader(); }
     [[nodiscard]] const pool::pool_state& state() const
@@ -129,6 +131,7 @@
     std::function<void()> on_stopped_;
     instant stop_began_at_{};
     bool failure_reported_ = false;
+    std::optional<std::uint64_t> reported_weight_;
 };
 
 control_host::implementation::implementation(control_host& host,
@@ -529,14 +532,22 @@
     }
 }
 
+void control_host::implementation::report_weight()
+{
+    std::uint64_t weight = state().weight();
+    if (reported_weight_ == weight)
+        return;
+    reported_weight_ = weight;
+    metrics_.set_gauge("state_weight_bytes", static_cast<double>(weight));
+    metrics_.set_gauge("state_weight_limit_bytes",
+                       static_cast<double>(settings_.weight_limit_));
+}
+
 void control_host::implementation::tick()
 {
     instant now = steady_now();
     loop_report_.tick(now);
-    metrics_.set_gauge("state_weight_bytes",
-                       static_cast<double>(state().weight()));
-    metrics_.set_gauge("state_weight_limit_bytes",
-                       static_cast<double>(settings_.weight_limit_));
+    report_weight();
     activity_meter::scope scope(meter_, consensus);
     replica_->tick(now);
     if (!replica_->failure().empty() && !failure_reported_) {
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -237,7 +237,9 @@
     /// Makes room for a job by evicting final ones. Returns false if the limit
     /// would be passed all the same.
     [[nodiscard]] bool make_room(std::uint64_t weight, std::uint64_t limit);
-    void report_room(const job_id& job, bool has_room);
+    /// Adds a notice when new jobs begin to be refused and when there is room
+    /// again.
+    void report_room(const job_id& job, bool has_room, std::uint64_t limit);
     /// Whether the oldest final job has no runs.
     [[nodiscard]] bool can_evict() const;
     void evict_oldest();
--- a/libs/pool/src/pending_unit.cpp
+++ b/libs/pool/src/pending_unit.cpp
@@ -74,10 +74,9 @@
 void collect_step(const pending_unit& base, const step_record* step,
                   const planner_input& input, std::vector<pending_unit>& units)
 {
-    static const step_record unstarted;
+    static const task_record unstarted;
     auto suspicion = [step](std::uint32_t task, bool is_whole_gang) {
-        return (step == nullptr ? unstarted : *step)
-            .suspicion(task, is_whole_gang);
+        return step == nullptr ? nullptr : step->suspicion(task, is_whole_gang);
     };
     bool is_gang = base.spec().is_gang_;
     pending_unit unit = base;
@@ -89,8 +88,7 @@
              std::vector<std::uint32_t>>
         tasks_by_run;
     for (std::uint32_t i = 0; i < base.spec().count_; ++i) {
-        const task_record task =
-            step == nullptr ? task_record{} : step->tasks_[i];
+        const task_record& task = step == nullptr ? unstarted : step->tasks_[i];
         bool waits = !task.is_done_ && task.worker_.empty();
         // A gang restarts only after the runs of all its tasks have ended.
         if (!waits && is_gang)
@@ -145,7 +143,7 @@
 {
     const job_spec& spec = job.spec_;
     std::uint32_t count = job.occurrence_count();
-    if (spec.first_due_ms_ <= 0 || count == 0)
+    if (spec.first_due_ms_ <= 0)
         return count;
     if (spec.first_due_ms_ > wall_ms)
         return 0;
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -16,6 +16,9 @@
 // How long clients may ask for a final job, also if its room is needed.
 constexpr duration min_retention_time = std::chrono::minutes(2);
 
+// Percentage of the limit below which room for new jobs is reported again.
+constexpr std::uint64_t room_report_percent = 90;
+
 // Number of workers whose last ended incarnation is kept: one day of restarts
 // at 22,000 workers.
 constexpr std::size_t max_ended_incarnations = 8192;
@@ -114,7 +117,7 @@
     job.accepted_ms_ = command.accepted_ms_;
     job.accepted_by_ = command.request_;
     bool has_room = make_room(weight_of(job), command.weight_limit_);
-    report_room(id, has_room);
+    report_room(id, has_room, command.weight_limit_);
     if (!has_room)
         return pool_reply::no_room;
     auto stored = jobs_.emplace(id, std::move(job)).first;
@@ -260,6 +263,7 @@
     const occurrence_record* record =
         job.occurrences_.find(command.occurrence_);
     static const std::vector<task_record> none;
+    static const task_record unstarted;
     const std::vector<task_record>& tasks =
         record == nullptr ? none : record->steps_[command.step_].tasks_;
     if (spec.is_gang_ && command.assignments_.size() != spec.count_)
@@ -279,8 +283,8 @@
             worker->second.info_.service_ == job.queue_.service_;
         if (!usable || assignment.index_ >= spec.count_)
             return false;
-        const task_record task =
-            tasks.empty() ? task_record{} : tasks[assignment.index_];
+        const task_record& task =
+            tasks.empty() ? unstarted : tasks[assignment.index_];
         bool waits =
             !task.is_done_ && task.worker_.empty() && command.run_ > task.run_;
         if (!waits)
@@ -573,9 +577,12 @@
     return weight_ + weight <= limit;
 }
 
-void pool_state::report_room(const job_id& job, bool has_room)
+// Small jobs still find room where large ones do not.
+void pool_state::report_room(const job_id& job, bool has_room,
+                             std::uint64_t limit)
 {
-    if (is_refusing_ == !has_room)
+    bool is_change = has_room == is_refusing_;
+    if (!is_change || (has_room && weight_ / room_report_percent > limit / 100))
         return;
     is_refusing_ = !has_room;
     std::string message =
