Pool tests: keep the step of a start call that is under way

Cause: a job that is final keeps no steps, and the crash simulation looked them up when a call arrived, which may be later. Ruled out: the product, which looks up steps of runs in the state only. The checks are the same; worker_crash passes.

--- a/libs/pool/test/crash_simulation.cpp
+++ b/libs/pool/test/crash_simulation.cpp
@@ -208,15 +208,19 @@
 
 void crash_simulation::send(const worker_call& call)
 {
+    // Its job may be final, without steps, when the call arrives.
+    step_spec spec;
+    if (const auto* start = std::get_if<start_call>(&call.operation_))
+        spec = state_.spec_of(start->run_.task_);
     auto found = workers_.find(call.worker_);
     if (found == workers_.end() || down_.contains(call.worker_)) {
         bool is_late = behaviour_.late_start_delay_ > duration::zero() &&
                        std::holds_alternative<start_call>(call.operation_);
         if (is_late)
-            schedule_after(behaviour_.late_start_delay_, [this, call] {
+            schedule_after(behaviour_.late_start_delay_, [this, call, spec] {
                 if (workers_.contains(call.worker_) &&
                     !down_.contains(call.worker_))
-                    (void)deliver(call);
+                    (void)deliver(call, spec);
             });
         lose(call, !is_late);
         return;
@@ -224,26 +228,24 @@
     duration wait{};
     if (const auto* hold = std::get_if<hold_call>(&call.operation_))
         wait = std::min(hold->wait_, hold_time);
-    schedule_after(network_time + wait, [this, call, term = term_] {
+    schedule_after(network_time + wait, [this, call, spec, term = term_] {
         bool is_gone =
             !workers_.contains(call.worker_) || down_.contains(call.worker_);
         if (is_gone) {
             lose(call, false);
             return;
         }
-        call_answer answer = deliver(call);
+        call_answer answer = deliver(call, spec);
         if (term == term_)
             owner_->handle_result(call.id_, answer, now_);
     });
 }
 
-call_answer crash_simulation::deliver(const worker_call& call)
+call_answer crash_simulation::deliver(const worker_call& call,
+                                      const step_spec& spec)
 {
     fake_worker& worker = workers_.at(call.worker_);
     const auto* start = std::get_if<start_call>(&call.operation_);
-    step_spec spec;
-    if (start != nullptr)
-        spec = state_.spec_of(start->run_.task_);
     bool was_there = start != nullptr && worker.running_.contains(start->run_);
     call_answer answer =
         worker.execute(call, spec, spec.estimate_, false, now_);
--- a/libs/pool/test/crash_simulation.hpp
+++ b/libs/pool/test/crash_simulation.hpp
@@ -88,7 +88,7 @@
     void commit(const owner_output& output);
     void count_parallel_runs();
     void send(const worker_call& call);
-    call_answer deliver(const worker_call& call);
+    call_answer deliver(const worker_call& call, const step_spec& spec);
     void lose(const worker_call& call, bool not_sent);
 
     crash_behaviour behaviour_;
