Pool: record the starts that workers confirm in intervals of 250 ms

Cause: one entry of the log for the first sign of each job.

Change: the owner keeps what was confirmed and proposes it together; what an outcome shows meanwhile needs no command. Clients may be told two seconds late, so callers see no difference.

--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -137,6 +137,14 @@
         std::optional<instant> logged_at_;
     };
 
+    /// The first run of a job that a worker has confirmed.
+    struct confirmed_start
+    {
+        run_ref run_;
+        worker_name worker_;
+        std::optional<instant> proposed_at_;
+    };
+
     /// Whether the incarnation of a session is still in the state.
     [[nodiscard]] bool is_current(const worker_session& session) const;
     /// Opens and closes sessions to match the workers in the state.
@@ -144,8 +152,10 @@
     void open_session(const worker_name& worker, std::int64_t incarnation,
                       instant now, bool is_inherited);
     void close_session(const worker_session& session, instant now);
-    /// Proposes what a worker has confirmed, once for each job.
-    void propose_confirmed_starts(worker_session& session, instant now);
+    /// Keeps what a worker has confirmed, once for each job.
+    void note_confirmed_starts(worker_session& session);
+    /// Proposes the starts confirmed since the last interval, together.
+    void propose_confirmed_starts(instant now);
     /// Judges once why an incarnation was lost that has been replaced.
     void judge_loss(worker_session& session, instant now);
     [[nodiscard]] std::unique_ptr<loss_monitor> make_loss_monitor() const;
@@ -176,8 +186,9 @@
     std::uint64_t seen_run_changes_ = 0;
     std::unordered_map<std::uint64_t, worker_name> calls_;
     std::map<job_id, instant> accepted_at_;
-    /// When the start of a job was last proposed as confirmed.
-    std::map<job_id, instant> start_proposed_at_;
+    /// Confirmed starts that the state does not show yet.
+    std::map<job_id, confirmed_start> confirmed_starts_;
+    instant starts_proposed_at_{};
     std::map<step_key, clearing> clearings_;
     std::map<step_key, wait_entry> waits_;
     std::unique_ptr<loss_monitor> losses_;
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -55,6 +55,10 @@
 // closed: its next incarnation registers within this time and lists them.
 constexpr duration registration_delay = 2s;
 
+// Interval at which starts that workers have confirmed are recorded. Clients
+// may be told of them two seconds late.
+constexpr duration start_report_interval = 250ms;
+
 // Maximum number of workers named in a log message.
 constexpr std::size_t max_logged_workers = 3;
 
@@ -178,7 +182,7 @@
     due_.clear();
     calls_.clear();
     accepted_at_.clear();
-    start_proposed_at_.clear();
+    confirmed_starts_.clear();
     clearings_.clear();
     waits_.clear();
     restart_at_.clear();
@@ -239,7 +243,7 @@
             continue;
         if (has_name) {
             session->handle_successor(listing, token, now, output_);
-            propose_confirmed_starts(*session, now);
+            note_confirmed_starts(*session);
         } else {
             session->replace(
                 std::nullopt,
@@ -250,20 +254,33 @@
     }
 }
 
-// The workers of a job answer together, so most of what they confirm is known
-// from the first answer.
-void pool_owner::propose_confirmed_starts(worker_session& session, instant now)
+void pool_owner::note_confirmed_starts(worker_session& session)
+{
+    for (const run_ref& run : session.take_confirmed_starts())
+        confirmed_starts_.try_emplace(
+            run.task_.job_,
+            confirmed_start{run, session.worker(), std::nullopt});
+}
+
+// Each entry of the log costs the owner and its followers a message and a sync,
+// so the starts of an interval share one.
+void pool_owner::propose_confirmed_starts(instant now)
 {
-    for (const run_ref& run : session.take_confirmed_starts()) {
-        auto [found, is_new] =
-            start_proposed_at_.try_emplace(run.task_.job_, now);
-        if (!is_new && now - found->second < proposal_retry_time)
+    if (now - starts_proposed_at_ < start_report_interval)
+        return;
+    starts_proposed_at_ = now;
+    std::erase_if(confirmed_starts_, [this](const auto& item) {
+        const job_record* job = state_.find_job(item.first);
+        return job == nullptr || job->is_final() || job->has_started_;
+    });
+    for (auto& [id, item] : confirmed_starts_) {
+        if (item.proposed_at_ && now - *item.proposed_at_ < proposal_retry_time)
             continue;
-        found->second = now;
-        output_.observations_.push_back(confirm_start{run});
-        output_.events_.push_back(
-            {run.task_.job_.str(), "job has started with run " + to_text(run) +
-                                       " on " + session.worker().str()});
+        item.proposed_at_ = now;
+        output_.observations_.push_back(confirm_start{item.run_});
+        output_.events_.push_back({id.str(), "job has started with run " +
+                                                 to_text(item.run_) + " on " +
+                                                 item.worker_.str()});
     }
 }
 
@@ -321,7 +338,7 @@
     if (session == sessions_.end() || !is_current(*session->second))
         return;
     session->second->handle_result(call, result, now, output_);
-    propose_confirmed_starts(*session->second, now);
+    note_confirmed_starts(*session->second);
     judge_loss(*session->second, now);
     due_.insert(session->first);
     is_dirty_ = true;
@@ -405,6 +422,7 @@
     now_ = now;
     sync_with_state();
     log_notices();
+    propose_confirmed_starts(now);
     add_changed_workers();
     auto workers = static_cast<duration::rep>(sessions_.size());
     bool is_sweep =
@@ -507,10 +525,6 @@
     std::erase_if(accepted_at_, [this](const auto& item) {
         return !state_.active_jobs().contains(item.first);
     });
-    std::erase_if(start_proposed_at_, [this](const auto& item) {
-        const job_record* job = state_.find_job(item.first);
-        return job == nullptr || job->is_final() || job->has_started_;
-    });
     for (const job_id& id : state_.active_jobs()) {
         auto [found, is_new] = accepted_at_.try_emplace(id, now);
         if (!is_new)
