--- a/review/second/lib.sh
+++ b/review/second/lib.sh
@@ -35,6 +35,7 @@
     rm -rf "$work"
 }
 trap end_all EXIT
+trap 'exit 2' INT TERM
 
 note() { echo "$(date +%s%3N) script $*" >>"$record"; }
 cannot_run() {
