--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -23,6 +23,8 @@
 sleep 6
 running=$(no_line "END $id.0.0.0 " && echo yes || echo no)
 note "state before the cancelling: $state; answer to DELETE: $cancel; its work item still runs 6 s later: $running"
+[[ $state =~ ^(running|410)$ ]] || cannot_run "a GET is answered $state"
+[[ $cancel =~ ^(2..|410)$ ]] || cannot_run "a DELETE is answered $cancel"
 [ "$state" = 410 ] && broken "a GET of the accepted job is answered 410; DELETE is answered $cancel, and 6 s later it still runs: $running"
 [ "$running" = yes ] && broken "the cancelling was acknowledged with $cancel, and 6 s later it still runs"
 held "the job was $state and has been cancelled"
