A job belongs to a queue by its address, not by the name of a route

Cause: accept_job copied the route's name into the job; decide_for_job(), cancel_job and waiting_jobs() compared that name with the route in force. Ruled out: the jobs are dropped (the task is still renewed 6 s later); an old configuration decides (that would be 404, not 410).

Change: a job has the address of its queue, host and prefix. States, cancels and counts go by it; a call finds its job by the whole path, so exchanged names or prefixes and longer prefixes do not hide or mix jobs.

--- a/libs/control/src/client_service.cpp
+++ b/libs/control/src/client_service.cpp
@@ -149,7 +149,7 @@
     client_response response =
         make_response(is_queue ? client_call_outcome::done
                                : client_call_outcome::unknown_job);
-    response.waiting_jobs_ = state().waiting_jobs(route.policy_.name_);
+    response.waiting_jobs_ = state().waiting_jobs(route);
     return response;
 }
 
@@ -178,12 +178,11 @@
 client_service::decide_for_job(const client_call& call,
                                const pool::queue_route& route) const
 {
-    job_id id(call.access_.path_.substr(route.prefix_.size()));
-    const pool::job_record* job = state().find_job(id);
-    if (job == nullptr || job->queue_.name_ != route.policy_.name_)
+    const pool::job_record* job = state().find_job_at(call.access_, route);
+    if (job == nullptr)
         return make_response(client_call_outcome::unknown_job);
     if (call.verb_ == client_verb::cancel)
-        return pool::cancel_job{id, call.access_};
+        return pool::cancel_job{job->spec_.id_, call.access_};
     client_response response = make_response(client_call_outcome::done);
     response.has_started_ = job->has_started_;
     response.phase_ = job->phase_;
--- a/libs/control/test/client_service_test.cpp
+++ b/libs/control/test/client_service_test.cpp
@@ -33,23 +33,25 @@
     /// Enqueues a configuration with one route without waiting for its commit.
     void enqueue_config(std::uint64_t version,
                         const std::set<std::string>& keys,
-                        const std::string& prefix = "/urgent/")
+                        const std::string& prefix = "/urgent/",
+                        const std::string& name = "urgent")
     {
         pool::pool_config config;
         config.version_ = version;
         pool::queue_route route;
         route.host_ = "a.example";
         route.prefix_ = prefix;
-        route.policy_.name_ = "urgent";
+        route.policy_.name_ = name;
         config.routes_.push_back(route);
         config.teams_[team_name("bakers")].keys_ = keys;
         log_.enqueue(pool::put_config{config}, nullptr);
     }
 
     void configure(std::uint64_t version, const std::set<std::string>& keys,
-                   const std::string& prefix = "/urgent/")
+                   const std::string& prefix = "/urgent/",
+                   const std::string& name = "urgent")
     {
-        enqueue_config(version, keys, prefix);
+        enqueue_config(version, keys, prefix, name);
         REQUIRE(
             run_until([&] { return state().config().version_ == version; }));
     }
@@ -339,3 +341,29 @@
     CHECK(!response.fault_.empty());
     CHECK(leader.state().active_jobs().empty());
 }
+
+// A route came back under another name, its jobs were answered as unknown, and
+// cancelling them did nothing (review/10).
+TEST_CASE("a client finds its job after its route came back as another one",
+          "[client_service]")
+{
+    leader_fixture leader;
+    leader.configure(1, {"key-1"});
+    REQUIRE(leader.serve(leader_fixture::make_submit("entry-1")).outcome_ ==
+            client_call_outcome::done);
+    client_call show = leader_fixture::make_submit("entry-2");
+    show.verb_ = client_verb::show;
+    show.spec_.reset();
+    leader.configure(2, {"key-1"}, "/other/", "other");
+    CHECK(leader.serve(show).outcome_ == client_call_outcome::unknown_route);
+    leader.configure(3, {"key-1"}, "/urgent/", "renamed");
+    client_response shown = leader.serve(show);
+    CHECK(shown.outcome_ == client_call_outcome::done);
+    CHECK(shown.phase_ == pool::job_phase::open);
+    CHECK(leader.serve(leader_fixture::make_read("entry-3")).waiting_jobs_ ==
+          1);
+    client_call cancel = show;
+    cancel.verb_ = client_verb::cancel;
+    CHECK(leader.serve(cancel).outcome_ == client_call_outcome::done);
+    CHECK(leader.serve(show).phase_ == pool::job_phase::cancelled);
+}
--- a/libs/core/include/dandelioncrank/core/wire.hpp
+++ b/libs/core/include/dandelioncrank/core/wire.hpp
@@ -93,6 +93,13 @@
         (write(values), ...);
     }
 
+    /// A field that was added to the end of a stored struct; see wire_reader.
+    template <class T>
+    void appended_with(const T& /*earlier*/, const T& value)
+    {
+        write(value);
+    }
+
     template <class T>
     void write(const T& value)
     {
@@ -174,6 +181,17 @@
         (read_if_present(values), ...);
     }
 
+    /// A field that was added to the end of a stored struct, with its value in
+    /// what an earlier build has stored.
+    template <class T>
+    void appended_with(const T& earlier, T& value)
+    {
+        if (has_next())
+            read(value);
+        else
+            value = earlier;
+    }
+
     template <class T>
     void read(T& value)
     {
--- a/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
@@ -9,6 +9,14 @@
 
 namespace dandelioncrank::pool {
 
+/// What identifies the queue of a job.
+enum class queue_identity
+{
+    /// In commands of earlier builds.
+    route_name,
+    address
+};
+
 /// Stores a job. Whether it is accepted, and its queue policy, follow from the
 /// configuration in force at the command's position in the log.
 struct accept_job
@@ -22,12 +30,14 @@
     /// Weight of the state in bytes up to which the job is accepted. Part of
     /// the command, so that all replicas decide alike; 0 means no limit.
     std::uint64_t weight_limit_ = 0;
+    queue_identity identity_ = queue_identity::address;
 
     template <class Archive>
     void fields(Archive& archive)
     {
         archive(spec_, access_, accepted_ms_, request_);
         archive.appended(weight_limit_);
+        archive.appended_with(queue_identity::route_name, identity_);
     }
 };
 
@@ -47,11 +57,13 @@
 struct put_config
 {
     pool_config config_;
+    queue_identity identity_ = queue_identity::address;
 
     template <class Archive>
     void fields(Archive& archive)
     {
         archive(config_);
+        archive.appended_with(queue_identity::route_name, identity_);
     }
 };
 
--- a/libs/pool/include/dandelioncrank/pool/pool_config.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_config.hpp
@@ -13,6 +13,30 @@
 
 namespace dandelioncrank::pool {
 
+/// A queue as its clients know it: the host and the prefix of the paths of
+/// their calls. The name of its route is only the operators' label.
+struct queue_address
+{
+    std::string host_;
+    std::string prefix_;
+
+    [[nodiscard]] bool empty() const
+    {
+        return host_.empty() && prefix_.empty();
+    }
+
+    auto operator<=>(const queue_address&) const = default;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(host_, prefix_);
+    }
+};
+
+/// Formats a queue for the log: "HOST" and "PREFIX" side by side.
+[[nodiscard]] std::string to_text(const queue_address& value);
+
 /// Scheduling policy for the jobs of one queue.
 struct queue_policy
 {
@@ -42,6 +66,8 @@
     bool is_public_ = false;
     queue_policy policy_;
 
+    [[nodiscard]] queue_address address() const { return {host_, prefix_}; }
+
     template <class Archive>
     void fields(Archive& archive)
     {
@@ -108,6 +134,9 @@
     /// Returns the route of host with the longest matching prefix of path.
     [[nodiscard]] const queue_route* find_route(const std::string& host,
                                                 const std::string& path) const;
+    /// Returns the route with a name; null if there is none.
+    [[nodiscard]] const queue_route*
+    find_route_named(const std::string& name) const;
     [[nodiscard]] std::optional<team_name>
     find_team(const std::string& key) const;
     [[nodiscard]] access_decision authorize(const queue_access& access) const;
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -30,6 +30,9 @@
     /// Without payload and steps once the job is final and has no runs.
     job_spec spec_;
     queue_policy queue_;
+    /// Its queue; empty if an earlier build has stored it, which went by the
+    /// name of the route, and no configuration has bound it since.
+    queue_address address_;
     team_name team_;
     std::int64_t accepted_ms_ = 0;
     /// Request identifier of the call that stored it.
@@ -62,7 +65,7 @@
         std::vector<occurrence_record> all_occurrences;
         archive(spec_, queue_, team_, accepted_ms_, accepted_by_, phase_,
                 has_started_, all_occurrences);
-        archive.appended(failure_, was_given_up_, occurrences_);
+        archive.appended(failure_, was_given_up_, occurrences_, address_);
         occurrences_.adopt(std::move(all_occurrences));
     }
 };
@@ -125,6 +128,9 @@
     /// Whether this or a later incarnation of an unknown worker has ended.
     [[nodiscard]] bool has_ended(const worker_info& info) const;
     [[nodiscard]] const job_record* find_job(const job_id& id) const;
+    /// Returns the job that a call to a route names; null if there is none.
+    [[nodiscard]] const job_record* find_job_at(const queue_access& access,
+                                                const queue_route& route) const;
     /// Jobs that are not final or may still have runs.
     [[nodiscard]] const std::set<job_id>& active_jobs() const
     {
@@ -159,8 +165,8 @@
     {
         return notices_;
     }
-    /// Number of jobs of a queue of which no worker has begun a task.
-    [[nodiscard]] std::uint64_t waiting_jobs(const std::string& queue) const;
+    /// Number of jobs of a route's queue of which no worker has begun a task.
+    [[nodiscard]] std::uint64_t waiting_jobs(const queue_route& route) const;
     /// Memory that the jobs need at the peak, in bytes; see state_weight.hpp.
     [[nodiscard]] std::uint64_t weight() const { return weight_; }
     /// Specification of a task of an active job.
@@ -229,6 +235,8 @@
     [[nodiscard]] exposure make_exposure(const exposed_run& item) const;
     void finish(job_record& job, job_phase phase);
     void mark_started(const job_id& id);
+    /// The jobs that go by the name of a route get the queue that it names.
+    void bind_jobs(const pool_config& before);
     /// Updates the number of waiting jobs when one starts or stops waiting.
     void count_waiting(const job_record& job, int change);
     void add_notice(const job_id& job, std::string message,
@@ -263,8 +271,9 @@
 
     // Derived from the above.
     std::uint64_t weight_ = 0;
-    /// By queue.
-    std::unordered_map<std::string, std::uint64_t> waiting_;
+    std::map<queue_address, std::uint64_t> waiting_;
+    /// Number of jobs that go by the name of a route.
+    std::uint64_t unbound_jobs_ = 0;
     std::set<job_id> active_;
     std::unordered_map<worker_name, worker_runs> runs_;
     std::unordered_map<job_id, job_record*> job_index_;
--- a/libs/pool/src/pool_config.cpp
+++ b/libs/pool/src/pool_config.cpp
@@ -1,7 +1,14 @@
 #include "dandelioncrank/pool/pool_config.hpp"
 
+#include <algorithm>
+
 namespace dandelioncrank::pool {
 
+std::string to_text(const queue_address& value)
+{
+    return value.host_ + value.prefix_;
+}
+
 const queue_route* pool_config::find_route(const std::string& host,
                                            const std::string& path) const
 {
@@ -16,6 +23,14 @@
     return best;
 }
 
+const queue_route* pool_config::find_route_named(const std::string& name) const
+{
+    auto found = std::find_if(
+        routes_.begin(), routes_.end(),
+        [&](const queue_route& route) { return route.policy_.name_ == name; });
+    return found == routes_.end() ? nullptr : &*found;
+}
+
 std::optional<team_name> pool_config::find_team(const std::string& key) const
 {
     for (const auto& [name, rule] : teams_) {
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -48,6 +48,31 @@
     return false;
 }
 
+// Jobs that go by the name of a route are counted under an address that no
+// queue has.
+queue_address address_of_name(const std::string& route)
+{
+    return {{}, route};
+}
+
+queue_address counted_queue(const job_record& job)
+{
+    return job.address_.empty() ? address_of_name(job.queue_.name_)
+                                : job.address_;
+}
+
+bool is_in_queue(const job_record& job, const queue_route& route)
+{
+    return job.address_.empty() ? job.queue_.name_ == route.policy_.name_
+                                : job.address_ == route.address();
+}
+
+bool has_path(const job_record& job, const queue_access& access)
+{
+    return job.address_.host_ == access.host_ &&
+           job.address_.prefix_ + job.spec_.id_.str() == access.path_;
+}
+
 pool_reply refusal(access_verdict verdict)
 {
     return verdict == access_verdict::unknown_key ? pool_reply::unknown_key
@@ -113,6 +138,10 @@
     job_record job;
     job.spec_ = command.spec_;
     job.queue_ = access.route_->policy_;
+    if (command.identity_ == queue_identity::address)
+        job.address_ = access.route_->address();
+    else
+        ++unbound_jobs_;
     job.team_ = access.team_;
     job.accepted_ms_ = command.accepted_ms_;
     job.accepted_by_ = command.request_;
@@ -134,8 +163,10 @@
     if (access.verdict_ != access_verdict::granted)
         return refusal(access.verdict_);
     auto found = jobs_.find(command.id_);
-    if (found == jobs_.end() ||
-        found->second.queue_.name_ != access.route_->policy_.name_)
+    bool is_here =
+        found != jobs_.end() && (is_in_queue(found->second, *access.route_) ||
+                                 has_path(found->second, command.access_));
+    if (!is_here)
         return pool_reply::rejected;
     if (found->second.is_final())
         return pool_reply::unchanged;
@@ -148,10 +179,37 @@
 {
     if (command.config_.version_ <= config_.version_)
         return pool_reply::unchanged;
-    config_ = command.config_;
+    pool_config before = std::exchange(config_, command.config_);
+    if (command.identity_ == queue_identity::address)
+        bind_jobs(before);
     return pool_reply::applied;
 }
 
+// All replicas do this at the same place in the log, also those that have read
+// the jobs from a snapshot of an earlier build.
+void pool_state::bind_jobs(const pool_config& before)
+{
+    if (unbound_jobs_ == 0)
+        return;
+    for (auto& [id, job] : jobs_) {
+        if (!job.address_.empty())
+            continue;
+        const queue_route* route = before.find_route_named(job.queue_.name_);
+        if (route == nullptr)
+            route = config_.find_route_named(job.queue_.name_);
+        if (route == nullptr)
+            continue;
+        bool is_waiting = !job.is_final() && !job.has_started_;
+        if (is_waiting)
+            count_waiting(job, -1);
+        job.address_ = route->address();
+        --unbound_jobs_;
+        if (is_waiting)
+            count_waiting(job, 1);
+        update_weight(job);
+    }
+}
+
 // --- Workers
 
 pool_reply pool_state::handle(const put_worker& command)
@@ -389,7 +447,7 @@
 
 void pool_state::count_waiting(const job_record& job, int change)
 {
-    auto entry = waiting_.try_emplace(job.queue_.name_, 0).first;
+    auto entry = waiting_.try_emplace(counted_queue(job), 0).first;
     entry->second += static_cast<std::uint64_t>(change);
     if (entry->second == 0)
         waiting_.erase(entry);
@@ -562,6 +620,7 @@
 {
     const job_id id = final_jobs_.jobs().front();
     weight_ -= job_at(id).weight_;
+    unbound_jobs_ -= job_at(id).address_.empty() ? 1 : 0;
     job_index_.erase(id);
     jobs_.erase(id);
     final_jobs_.remove_oldest();
@@ -612,6 +671,20 @@
     return found == job_index_.end() ? nullptr : found->second;
 }
 
+// A call names a job by its host and its whole path. The route with the longest
+// prefix decides whether the call is allowed; it may be newer than the job, and
+// then another part of the path is the job's prefix.
+const job_record* pool_state::find_job_at(const queue_access& access,
+                                          const queue_route& route) const
+{
+    const std::string& path = access.path_;
+    const job_record* job = find_job(job_id(path.substr(route.prefix_.size())));
+    if (job != nullptr && is_in_queue(*job, route))
+        return job;
+    job = find_job(job_id(path.substr(path.rfind('/') + 1)));
+    return job != nullptr && has_path(*job, access) ? job : nullptr;
+}
+
 job_record& pool_state::job_at(const job_id& id) const
 {
     return *job_index_.at(id);
@@ -658,10 +731,15 @@
     return found == runs_.end() ? 0 : found->second.revision_;
 }
 
-std::uint64_t pool_state::waiting_jobs(const std::string& queue) const
+std::uint64_t pool_state::waiting_jobs(const queue_route& route) const
 {
-    auto found = waiting_.find(queue);
-    return found == waiting_.end() ? 0 : found->second;
+    std::uint64_t count = 0;
+    for (const queue_address& address :
+         {route.address(), address_of_name(route.policy_.name_)}) {
+        auto found = waiting_.find(address);
+        count += found == waiting_.end() ? 0 : found->second;
+    }
+    return count;
 }
 
 const step_spec& pool_state::spec_of(const task_ref& task) const
@@ -729,8 +807,10 @@
     job_index_.clear();
     weight_ = 0;
     waiting_.clear();
+    unbound_jobs_ = 0;
     for (auto& [id, job] : jobs_) {
         job_index_.emplace(id, &job);
+        unbound_jobs_ += job.address_.empty() ? 1 : 0;
         if (!job.is_final() && !job.has_started_)
             count_waiting(job, 1);
         for (const auto& item : job.occurrences_.records())
--- a/libs/pool/test/pool_fixture.hpp
+++ b/libs/pool/test/pool_fixture.hpp
@@ -89,6 +89,23 @@
         return access;
     }
 
+    /// Number of waiting jobs of the queue of a priority.
+    [[nodiscard]] std::uint64_t waiting_jobs(int priority) const
+    {
+        const std::string prefix = "/queue-" + std::to_string(priority) + '/';
+        const queue_route* route = config_.find_route("a.example", prefix);
+        return route == nullptr ? 0 : state_.waiting_jobs(*route);
+    }
+
+    /// Puts a changed copy of the configuration in force.
+    template <class Change>
+    void reconfigure(Change change)
+    {
+        change(config_);
+        config_.version_ += 1;
+        state_.apply(put_config{config_});
+    }
+
     void guarantee(const std::string& team, std::int64_t accelerators)
     {
         config_.version_ += 1;
--- a/libs/pool/test/state_weight_test.cpp
+++ b/libs/pool/test/state_weight_test.cpp
@@ -257,7 +257,7 @@
     CHECK(pool.state_.runs_on(pool_fixture::name_of(0)).size() == 1);
     CHECK(pool.state_.active_jobs() == std::set<job_id>{job_id("a")});
     CHECK(pool.state_.find_job(job_id("b"))->phase_ == job_phase::completed);
-    CHECK(pool.state_.waiting_jobs("") == 0);
+    CHECK(pool.state_.waiting_jobs(queue_route()) == 0);
     CHECK(pool.state_.weight() > 0);
 }
 
--- a/libs/pool/test/waiting_jobs_test.cpp
+++ b/libs/pool/test/waiting_jobs_test.cpp
@@ -27,10 +27,7 @@
     /// Lets the owner record what its worker has confirmed.
     void settle() { (void)advance(300ms); }
 
-    [[nodiscard]] std::uint64_t waiting() const
-    {
-        return state_.waiting_jobs("queue-1");
-    }
+    [[nodiscard]] std::uint64_t waiting() const { return waiting_jobs(1); }
 
     [[nodiscard]] bool is_shown_as_started() const
     {
@@ -129,7 +126,8 @@
     pool.settle();
     pool_state copy;
     copy.restore(pool.state_.snapshot());
-    CHECK(copy.waiting_jobs("queue-1") == (is_confirmed ? 0 : 1));
+    CHECK(copy.waiting_jobs(copy.config().routes_.at(0)) ==
+          (is_confirmed ? 0 : 1));
     pool.owner_.begin(2, pool.now_);
     pool.owner_.record_announcement(pool_fixture::name_of(0), 1, pool.clock(),
                                     pool.now_);
@@ -185,11 +183,11 @@
         pool.submit("a" + std::to_string(i),
                     {pool_fixture::make_step(1, 8, false)}, 1);
     job_id other = pool.submit("b", {pool_fixture::make_step(1, 8, false)}, 2);
-    CHECK(pool.state_.waiting_jobs("queue-1") == 3);
-    CHECK(pool.state_.waiting_jobs("queue-2") == 1);
-    CHECK(pool.state_.waiting_jobs("queue-3") == 0);
+    CHECK(pool.waiting_jobs(1) == 3);
+    CHECK(pool.waiting_jobs(2) == 1);
+    CHECK(pool.waiting_jobs(3) == 0);
     pool.state_.apply(confirm_start{{{other, 0, 0, 0}, 1}});
     pool.state_.apply(confirm_start{{{other, 0, 0, 0}, 1}});
-    CHECK(pool.state_.waiting_jobs("queue-2") == 0);
-    CHECK(pool.state_.waiting_jobs("queue-1") == 3);
+    CHECK(pool.waiting_jobs(2) == 0);
+    CHECK(pool.waiting_jobs(1) == 3);
 }
