A run whose end is undecided is not started

Cause: a start that was committed and not sent yet is proposed as refused when its worker has lost three calls. The entry was looked at again after 400 ms, as if the proposal had failed; with a slow commit and a worker that answers again the start was sent, then the refusal was committed and the planner started the task elsewhere. Time does not tell the fate of a proposal: it is applied, or the leader has stopped being one, or it was never taken in.

Change: replica::propose() tells when a proposal is settled, also after the time limit of calls. The owner numbers what it proposes together, and a run whose end is in an undecided proposal gets no start. Commands that wait for their entry are bound to the term. The delay after a second lapse counts from the commit. starts_withheld and its line show where a start waits.

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -484,20 +484,21 @@
 {
     log_events(output.events_);
     send_calls(output.calls_);
-    for (pool::pool_command& item : output.observations_)
-        group_->enqueue(std::move(item), nullptr);
-    if (output.starts_.empty())
-        return;
     std::uint64_t term = owned_term_;
-    for (std::size_t i = 0; i < output.starts_.size(); ++i) {
-        bool is_last = i + 1 == output.starts_.size();
-        group_->enqueue(std::move(output.starts_[i]),
-                        [this, term, is_last](commit_result, pool::pool_reply) {
-                            if (is_last && owned_term_ == term)
-                                owner_->starts_resolved();
-                            group_->schedule_flush();
-                        });
-    }
+    if (!output.observations_.empty())
+        group_->enqueue_all(std::move(output.observations_), term,
+                            [this, term, proposal = output.proposal_] {
+                                if (owned_term_ == term)
+                                    owner_->proposal_settled(proposal,
+                                                             steady_now());
+                                schedule_owner();
+                            });
+    if (!output.starts_.empty())
+        group_->enqueue_all(std::move(output.starts_), term, [this, term] {
+            if (owned_term_ == term)
+                owner_->starts_resolved();
+            group_->schedule_flush();
+        });
 }
 
 void control_host::implementation::log_events(
--- a/libs/control/src/group_log.cpp
+++ b/libs/control/src/group_log.cpp
@@ -21,7 +21,21 @@
 
 void group_log::enqueue(pool::pool_command command, command_handler on_response)
 {
-    commands_.push_back({std::move(command), std::move(on_response)});
+    commands_.push_back(
+        {std::move(command), std::move(on_response), nullptr, std::nullopt});
+    schedule_flush();
+}
+
+void group_log::enqueue_all(pool::pool_batch commands, term_number term,
+                            settled_handler on_settled)
+{
+    auto open = std::make_shared<std::size_t>(commands.size());
+    auto on_one = [open, handler = std::move(on_settled)] {
+        if (--*open == 0)
+            handler();
+    };
+    for (pool::pool_command& command : commands)
+        commands_.push_back({std::move(command), nullptr, on_one, term});
     schedule_flush();
 }
 
@@ -71,6 +85,7 @@
 void group_log::flush_commands()
 {
     std::vector<queued_command> queue = std::exchange(commands_, {});
+    drop_outdated(queue);
     auto is_config = [](const queued_command& item) {
         return std::holds_alternative<pool::put_config>(item.command_);
     };
@@ -84,6 +99,16 @@
     }
 }
 
+// A later owner of the pool takes nothing for granted that is not applied by
+// its beginning.
+void group_log::drop_outdated(std::vector<queued_command>& queue) const
+{
+    term_number term = replica_.status().term_;
+    std::erase_if(queue, [term](const queued_command& item) {
+        return item.term_ && *item.term_ != term;
+    });
+}
+
 void group_log::propose(std::vector<queued_command> commands)
 {
     pool::pool_batch entry;
@@ -91,20 +116,29 @@
         entry.push_back(item.command_);
     metrics_.count("commits");
     instant sent_at = steady_now();
+    auto batch =
+        std::make_shared<std::vector<queued_command>>(std::move(commands));
     replica_.propose(
         to_wire(entry), sent_at,
-        [this, batch = std ::move(commands),
+        [this, batch,
          sent_at](commit_result end,
-                  std ::optional<pool_state_machine ::reply> replies) {
-            if (end == commit_result ::committed)
+                  const std::optional<pool_state_machine::reply>& replies) {
+            if (end == commit_result::committed)
                 metrics_.record_duration("commit", steady_now() - sent_at);
-            for (std::size_t i = 0; i < batch.size(); ++i) {
-                const queued_command& item = batch[i];
+            for (std::size_t i = 0; i < batch->size(); ++i) {
+                const queued_command& item = batch->at(i);
                 auto reply =
                     replies ? replies->at(i) : pool::pool_reply::rejected;
                 if (item.on_response_)
                     item.on_response_(end, reply);
             }
+        },
+        [this, batch, sent_at] {
+            metrics_.record_duration("proposal", steady_now() - sent_at);
+            for (const queued_command& item : *batch) {
+                if (item.on_settled_)
+                    item.on_settled_();
+            }
         });
 }
 
--- a/libs/control/src/group_log.hpp
+++ b/libs/control/src/group_log.hpp
@@ -9,6 +9,7 @@
 #include <QObject>
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace dandelioncrank::control {
@@ -21,6 +22,7 @@
   public:
     using command_handler =
         std::function<void(commit_result, pool::pool_reply)>;
+    using settled_handler = std::function<void()>;
     using read_handler = std::function<void(bool granted)>;
 
     group_log(replica<pool_state_machine>& replica, metric_registry& metrics,
@@ -31,6 +33,11 @@
 
     /// Proposes a command; the handler may be empty.
     void enqueue(pool::pool_command command, command_handler on_response);
+    /// Proposes commands of the leader of a term, in order. The handler is
+    /// called once each of them has been applied or certainly never will be;
+    /// not if the term has ended before that.
+    void enqueue_all(pool::pool_batch commands, term_number term,
+                     settled_handler on_settled);
     /// Calls the handler once the state holds everything that was committed on
     /// any host or queued here before this call. Handlers run in the order of
     /// the calls.
@@ -46,11 +53,16 @@
     {
         pool::pool_command command_;
         command_handler on_response_;
+        settled_handler on_settled_;
+        /// The only term in which it may be proposed, if set.
+        std::optional<term_number> term_;
     };
 
     void flush();
     void flush_reads();
     void flush_commands();
+    /// Drops commands that a leader of an earlier term has queued.
+    void drop_outdated(std::vector<queued_command>& queue) const;
     void propose(std::vector<queued_command> commands);
 
     replica<pool_state_machine>& replica_;
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -57,8 +57,10 @@
 struct owner_output
 {
     std::vector<worker_call> calls_;
-    /// Observations to commit.
+    /// Observations to commit. proposal_settled() must follow with the number
+    /// below.
     pool_batch observations_;
+    std::uint64_t proposal_ = 0;
     /// Starts to commit; starts_resolved() must follow.
     pool_batch starts_;
     std::vector<owner_event> events_;
@@ -66,6 +68,7 @@
 
 class fencing_tokens;
 class loss_monitor;
+class proposal_tracker;
 
 /// Manages a pool of workers during one term: plans placements, sends start
 /// and stop calls, renews leases and records outcomes.
@@ -117,8 +120,10 @@
                        instant now);
     /// Must be called after each state change, before the next tick().
     void state_changed();
-    /// The starts of the last output were committed or have failed.
+    /// The starts of the last output have been applied or never will be.
     void starts_resolved();
+    /// All observations of an output have been applied or never will be.
+    void proposal_settled(std::uint64_t proposal, instant now);
     void tick(instant now, std::int64_t wall_ms);
 
     [[nodiscard]] owner_output take_output();
@@ -160,7 +165,7 @@
     void judge_loss(worker_session& session, instant now);
     [[nodiscard]] std::unique_ptr<loss_monitor> make_loss_monitor() const;
     /// Delays the next start of tasks whose runs have lapsed repeatedly.
-    void delay_lapsed(std::size_t first_observation, instant now);
+    void delay_lapsed(std::size_t first_observation);
     void log_notices();
     /// Adds the workers whose runs have changed to those that are due.
     void add_changed_workers();
@@ -193,8 +198,11 @@
     std::map<step_key, wait_entry> waits_;
     std::unique_ptr<loss_monitor> losses_;
     std::unique_ptr<fencing_tokens> tokens_;
+    std::unique_ptr<proposal_tracker> proposals_;
     /// When tasks whose runs have lapsed repeatedly may start again.
     std::map<task_ref, instant> restart_at_;
+    /// Those of them whose lapse is undecided, by its proposal.
+    std::multimap<std::uint64_t, task_ref> lapsing_tasks_;
     std::uint64_t seen_notices_ = 0;
     bool is_dirty_ = true;
     /// Workers revision of the state that the sessions match.
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -2,6 +2,7 @@
 
 #include "fencing_tokens.hpp"
 #include "loss_monitor.hpp"
+#include "proposal_tracker.hpp"
 #include "worker_session.hpp"
 
 #include <algorithm>
@@ -105,7 +106,8 @@
 pool_owner::pool_owner(const pool_state& state, owner_timing timing,
                        std::uint64_t weight_limit)
     : state_(state), timing_(timing), weight_limit_(weight_limit),
-      losses_(make_loss_monitor()), tokens_(std::make_unique<fencing_tokens>())
+      losses_(make_loss_monitor()), tokens_(std::make_unique<fencing_tokens>()),
+      proposals_(std::make_unique<proposal_tracker>())
 {
 }
 
@@ -143,8 +145,8 @@
     if (is_inherited)
         clock_wait += sessions_.size() * clock_request_spacing;
     sessions_[worker] = std::make_unique<worker_session>(
-        state_, timing_, *tokens_, worker, incarnation, now, is_inherited,
-        clock_wait);
+        state_, timing_, *tokens_, *proposals_, worker, incarnation, now,
+        is_inherited, clock_wait);
     due_.insert(worker);
 }
 
@@ -186,6 +188,8 @@
     clearings_.clear();
     waits_.clear();
     restart_at_.clear();
+    lapsing_tasks_.clear();
+    proposals_->reset();
     starts_pending_ = false;
     output_ = {};
 }
@@ -274,7 +278,7 @@
         return job == nullptr || job->is_final() || job->has_started_;
     });
     for (auto& [id, item] : confirmed_starts_) {
-        if (item.proposed_at_ && now - *item.proposed_at_ < proposal_retry_time)
+        if (item.proposed_at_ && now - *item.proposed_at_ < proposal_interval)
             continue;
         item.proposed_at_ = now;
         output_.observations_.push_back(confirm_start{item.run_});
@@ -298,10 +302,19 @@
                         output_);
 }
 
-void pool_owner::delay_lapsed(std::size_t first_observation, instant now)
+// The delay counts from the commit, from which the task could start again.
+void pool_owner::proposal_settled(std::uint64_t proposal, instant now)
+{
+    proposals_->settle(proposal);
+    auto [first, last] = lapsing_tasks_.equal_range(proposal);
+    for (auto it = first; it != last; ++it)
+        restart_at_[it->second] = now + relapse_delay;
+    lapsing_tasks_.erase(first, last);
+    is_dirty_ = true;
+}
+
+void pool_owner::delay_lapsed(std::size_t first_observation)
 {
-    std::erase_if(restart_at_,
-                  [now](const auto& item) { return item.second <= now; });
     for (std::size_t i = first_observation; i < output_.observations_.size();
          ++i) {
         const auto* end =
@@ -310,7 +323,7 @@
             continue;
         const loss_record* losses = state_.losses_of(end->run_.task_);
         if (losses != nullptr && losses->lapses_ > 0)
-            restart_at_[end->run_.task_] = now + relapse_delay;
+            lapsing_tasks_.emplace(proposals_->current(), end->run_.task_);
     }
 }
 
@@ -466,13 +479,15 @@
     }
     for (std::size_t i = first; i < output_.calls_.size(); ++i)
         calls_[output_.calls_[i].id_] = output_.calls_[i].worker_;
-    delay_lapsed(first_observation, now);
+    delay_lapsed(first_observation);
 }
 
 owner_output pool_owner::take_output()
 {
     owner_output result = std::move(output_);
     output_ = {};
+    if (!result.observations_.empty())
+        result.proposal_ = proposals_->close();
     return result;
 }
 
@@ -536,6 +551,8 @@
     }
     input.accepted_at_ = accepted_at_;
     input.clearings_ = clearings_;
+    std::erase_if(restart_at_,
+                  [now](const auto& item) { return item.second <= now; });
     input.restart_at_ = restart_at_;
     for (const auto& item : sessions_) {
         for (const run_ref& run : item.second->stray_runs(now))
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -35,9 +35,10 @@
 
 pool_owner::worker_session::worker_session(
     const pool_state& state, const owner_timing& timing, fencing_tokens& tokens,
-    worker_name worker, std::int64_t incarnation, instant now,
-    bool is_inherited, duration clock_wait)
-    : state_(state), timing_(timing), tokens_(tokens),
+    const proposal_tracker& proposals, worker_name worker,
+    std::int64_t incarnation, instant now, bool is_inherited,
+    duration clock_wait)
+    : state_(state), timing_(timing), tokens_(tokens), proposals_(proposals),
       worker_(std::move(worker)), incarnation_(incarnation), opened_at_(now),
       clock_request_at_(now + clock_wait), last_contact_at_(now)
 {
@@ -256,11 +257,9 @@
     if (now <= lease_end_)
         return;
     for (auto& [run, entry] : runs_) {
-        if (entry.phase_ != run_phase::unsent &&
-            now >= entry.next_attempt_at_) {
-            propose_run_end(run, run_outcome::lapsed, out);
+        if (entry.phase_ != run_phase::unsent && may_propose_end(entry, now)) {
+            propose_run_end(run, entry, run_outcome::lapsed, now, out);
             has_unread_outcomes_ = true;
-            entry.next_attempt_at_ = now + proposal_retry_time;
         }
     }
 }
@@ -340,7 +339,7 @@
 void pool_owner::worker_session::propose_incarnation_end(instant now,
                                                          owner_output& out)
 {
-    if (!retire_deadline_ || now < next_incarnation_end_)
+    if (!retire_deadline_ || !may_propose_incarnation_end(now))
         return;
     // Outcomes reported before are recorded first. A worker that is merely out
     // of reach may go on, so its runs end with their lease.
@@ -348,24 +347,64 @@
         !runs_.empty() || (now <= lease_end_ && !knows_all_runs(now));
     if (may_have_runs && !has_left_)
         return;
-    next_incarnation_end_ = now + proposal_retry_time;
+    next_incarnation_end_ = now + proposal_interval;
+    incarnation_end_proposal_ = proposals_.current();
     out.observations_.push_back(incarnation_end(incarnation_end_cause::left));
     out.events_.push_back(
         {worker_.str(), "worker " + worker_.str() + " has left the pool with " +
                             std::to_string(runs_.size()) + " runs"});
 }
 
+bool pool_owner::worker_session::may_propose_incarnation_end(instant now) const
+{
+    bool is_undecided = incarnation_end_proposal_ &&
+                        proposals_.is_undecided(*incarnation_end_proposal_);
+    return !is_undecided && now >= next_incarnation_end_;
+}
+
+bool pool_owner::worker_session::is_end_undecided(const run_entry& entry) const
+{
+    return entry.end_proposal_ && proposals_.is_undecided(*entry.end_proposal_);
+}
+
+bool pool_owner::worker_session::may_propose_end(const run_entry& entry,
+                                                 instant now) const
+{
+    return !is_end_undecided(entry) && now >= entry.next_attempt_at_;
+}
+
+void pool_owner::worker_session::report_withheld(const run_ref& run,
+                                                 run_entry& entry, instant now,
+                                                 owner_output& out)
+{
+    duration age = now - entry.end_proposed_at_;
+    bool may_begin = entry.phase_ == run_phase::unsent ||
+                     entry.phase_ == run_phase::unconfirmed;
+    bool would_start = may_begin && lost_calls_ < max_lost_calls &&
+                       !entry.stop_requested_ && state_.is_desired(run);
+    if (entry.is_withheld_ || !would_start || age < proposal_interval)
+        return;
+    entry.is_withheld_ = true;
+    auto age_ms = std::chrono::floor<std::chrono::milliseconds>(age);
+    out.events_.push_back({run.task_.job_.str(),
+                           "run " + to_text(run) + " is not started on " +
+                               worker_.str() + ": its end is undecided for " +
+                               std::to_string(age_ms.count()) + " ms, " +
+                               to_text(entry.proposed_outcome_),
+                           "starts_withheld"});
+}
+
 void pool_owner::worker_session::propose_run_end(const run_ref& run,
+                                                 run_entry& entry,
                                                  run_outcome outcome,
-                                                 owner_output& out)
+                                                 instant now, owner_output& out)
 {
-    auto seen = runs_.find(run);
-    std::string checkpoint =
-        seen == runs_.end() ? "" : seen->second.checkpoint_;
-    duration age =
-        seen == runs_.end() ? duration::zero() : age_of(seen->second);
+    entry.end_proposal_ = proposals_.current();
+    entry.end_proposed_at_ = now;
+    entry.proposed_outcome_ = outcome;
+    entry.next_attempt_at_ = now + proposal_interval;
     out.observations_.push_back(end_unreported_run{
-        worker_, incarnation_, run, outcome, std::move(checkpoint), age});
+        worker_, incarnation_, run, outcome, entry.checkpoint_, age_of(entry)});
     out.events_.push_back(
         {run.task_.job_.str(), "run " + to_text(run) + " on " + worker_.str() +
                                    " is closed: " + to_text(outcome)});
@@ -386,6 +425,11 @@
                                   next_call, out);
         return;
     }
+    // If the end is committed, the task starts elsewhere.
+    if (is_end_undecided(entry)) {
+        report_withheld(run, entry, now, out);
+        return;
+    }
     const job_record& job = *state_.find_job(run.task_.job_);
     const step_record& step =
         job.occurrences_.at(run.task_.occurrence_).steps_[run.task_.step_];
@@ -416,8 +460,7 @@
     if (is_lost && entry.phase_ == run_phase::unsent)
         desired = false;
     if (!desired && entry.phase_ == run_phase::unsent) {
-        propose_run_end(run, run_outcome::refused, out);
-        entry.next_attempt_at_ = now + proposal_retry_time;
+        propose_run_end(run, entry, run_outcome::refused, now, out);
         return;
     }
     if (!desired && !entry.blocked_at_) {
@@ -461,7 +504,7 @@
         return;
     // Wait for outcomes being committed: the next hold acknowledges them.
     bool is_committing =
-        proposed_cursor_ > cursor && now - proposed_at_ < proposal_retry_time;
+        proposed_cursor_ > cursor && now - proposed_at_ < proposal_interval;
     if (is_committing || (hold_call_id_ && !hold_requested_))
         return;
     bool must_know = hold_requested_ || !is_in_contact;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -3,6 +3,7 @@
 #include "dandelioncrank/pool/pool_owner.hpp"
 #include "fencing_tokens.hpp"
 #include "loss_monitor.hpp"
+#include "proposal_tracker.hpp"
 
 #include <deque>
 #include <optional>
@@ -12,8 +13,9 @@
 
 namespace dandelioncrank::pool {
 
-/// Uncommitted proposals are repeated after this time.
-constexpr duration proposal_retry_time = std::chrono::milliseconds(400);
+/// Minimum interval between two proposals of the same kind. That it has passed
+/// does not tell that the first one is not committed.
+constexpr duration proposal_interval = std::chrono::milliseconds(400);
 /// Hold calls to a busy worker follow each other within the maximum hold wait;
 /// a longer gap than this means that some were lost.
 constexpr duration max_hold_gap = std::chrono::seconds(3);
@@ -23,9 +25,9 @@
 {
   public:
     worker_session(const pool_state& state, const owner_timing& timing,
-                   fencing_tokens& tokens, worker_name worker,
-                   std::int64_t incarnation, instant now, bool is_inherited,
-                   duration clock_wait);
+                   fencing_tokens& tokens, const proposal_tracker& proposals,
+                   worker_name worker, std::int64_t incarnation, instant now,
+                   bool is_inherited, duration clock_wait);
 
     [[nodiscard]] const worker_name& worker() const { return worker_; }
     [[nodiscard]] std::int64_t incarnation() const { return incarnation_; }
@@ -129,6 +131,12 @@
         /// When its task was first seen to be done.
         std::optional<instant> done_at_;
         std::optional<std::uint64_t> call_id_;
+        /// The proposal that holds its end, and when it was made. While that is
+        /// undecided, the run must not start.
+        std::optional<std::uint64_t> end_proposal_;
+        instant end_proposed_at_{};
+        run_outcome proposed_outcome_ = run_outcome::lost;
+        bool is_withheld_ = false;
         instant next_attempt_at_{};
         instant started_at_{};
         /// When its worker first confirmed to this owner that it is under way.
@@ -158,6 +166,7 @@
     void propose_lapsed_run_ends(instant now, owner_output& out);
     /// Ends the incarnation of a retiring worker once nothing runs there.
     void propose_incarnation_end(instant now, owner_output& out);
+    [[nodiscard]] bool may_propose_incarnation_end(instant now) const;
     std::uint64_t send(std::variant<start_call, stop_call, hold_call> what,
                        duration timeout, instant now, std::uint64_t& next_call,
                        owner_output& out);
@@ -193,7 +202,15 @@
                                    const run_entry& entry) const;
     /// Ends a replaced incarnation once all of its runs are over.
     void propose_replaced_end(instant now, owner_output& out);
-    void propose_run_end(const run_ref& run, run_outcome outcome,
+    void propose_run_end(const run_ref& run, run_entry& entry,
+                         run_outcome outcome, instant now, owner_output& out);
+    /// Whether an end of the run is proposed that may still be committed.
+    [[nodiscard]] bool is_end_undecided(const run_entry& entry) const;
+    /// Whether an end of the run may be proposed now.
+    [[nodiscard]] bool may_propose_end(const run_entry& entry,
+                                       instant now) const;
+    /// Logs once that a run is not started since its end is undecided.
+    void report_withheld(const run_ref& run, run_entry& entry, instant now,
                          owner_output& out);
     void note_confirmed(const run_ref& run);
     /// How long a run has certainly been under way.
@@ -216,6 +233,7 @@
     const pool_state& state_;
     const owner_timing& timing_;
     fencing_tokens& tokens_;
+    const proposal_tracker& proposals_;
     worker_name worker_;
     std::int64_t incarnation_;
     instant opened_at_;
@@ -281,6 +299,7 @@
     std::optional<instant> closed_at_;
     /// The process of the retiring worker is gone.
     bool has_left_ = false;
+    std::optional<std::uint64_t> incarnation_end_proposal_;
     instant next_incarnation_end_{};
     /// Last outcome proposed to the log, and when.
     std::uint64_t proposed_cursor_ = 0;
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -223,8 +223,7 @@
         entry.stop_requested_ = true;
         return;
     }
-    propose_run_end(call.run_, run_outcome::refused, out);
-    entry.next_attempt_at_ = now + proposal_retry_time;
+    propose_run_end(call.run_, entry, run_outcome::refused, now, out);
     entry.stop_requested_ = true;
     entry.phase_ = run_phase::unsent;
 }
@@ -391,7 +390,7 @@
             entry.phase_ = run_phase::unconfirmed;
             continue;
         }
-        if (now < entry.next_attempt_at_)
+        if (!may_propose_end(entry, now))
             continue;
         bool was_blocked = entry.blocked_at_ && *entry.blocked_at_ <= sent_at;
         // A call that was meant for an earlier incarnation has acknowledged its
@@ -399,9 +398,9 @@
         bool is_forgotten = entry.was_listed_ && entry.reported_at_ <= sent_at;
         if (!was_blocked && !is_forgotten)
             continue;
-        propose_run_end(
-            run, was_blocked ? run_outcome::stopped : run_outcome::lost, out);
-        entry.next_attempt_at_ = now + proposal_retry_time;
+        propose_run_end(run, entry,
+                        was_blocked ? run_outcome::stopped : run_outcome::lost,
+                        now, out);
     }
 }
 
--- a/libs/pool/src/worker_session_successor.cpp
+++ b/libs/pool/src/worker_session_successor.cpp
@@ -83,7 +83,7 @@
 void pool_owner::worker_session::propose_replaced_end(instant now,
                                                       owner_output& out)
 {
-    if (now < next_incarnation_end_)
+    if (!may_propose_incarnation_end(now))
         return;
     bool may_have_runs =
         std::any_of(runs_.begin(), runs_.end(),
@@ -91,7 +91,8 @@
     bool is_over = now > lease_end_ || (is_successor_clean_ && !may_have_runs);
     if (!is_over)
         return;
-    next_incarnation_end_ = now + proposal_retry_time;
+    next_incarnation_end_ = now + proposal_interval;
+    incarnation_end_proposal_ = proposals_.current();
     out.observations_.push_back(incarnation_end(verdict_->cause_));
 }
 
@@ -157,9 +158,8 @@
         auto end = ended.find(run);
         if (end == ended.end()) {
             entry.is_absent_ = is_conclusive;
-        } else if (now >= entry.next_attempt_at_) {
-            propose_run_end(run, end->second, out);
-            entry.next_attempt_at_ = now + proposal_retry_time;
+        } else if (may_propose_end(entry, now)) {
+            propose_run_end(run, entry, end->second, now, out);
         }
     }
 }
--- a/libs/pool/test/crash_simulation.cpp
+++ b/libs/pool/test/crash_simulation.cpp
@@ -186,6 +186,8 @@
             state_.apply(item);
         for (const pool_command& item : output.starts_)
             state_.apply(item);
+        if (!output.observations_.empty())
+            owner_->proposal_settled(output.proposal_, now_);
         if (!output.starts_.empty())
             owner_->starts_resolved();
     });
--- a/libs/pool/test/owner_fixture.hpp
+++ b/libs/pool/test/owner_fixture.hpp
@@ -34,6 +34,8 @@
             state_.apply(item);
         for (const pool_command& item : output.starts_)
             state_.apply(item);
+        if (!output.observations_.empty())
+            owner_.proposal_settled(output.proposal_, now_);
         if (!output.starts_.empty())
             owner_.starts_resolved();
         owner_.state_changed();
--- a/libs/pool/test/pool_owner_test.cpp
+++ b/libs/pool/test/pool_owner_test.cpp
@@ -532,6 +532,8 @@
             state.apply(item);
         for (const pool_command& item : output.starts_)
             state.apply(item);
+        if (!output.observations_.empty())
+            owner.proposal_settled(output.proposal_, now);
     }
     if (!output.starts_.empty())
         owner.starts_resolved();
--- a/libs/pool/test/random_run_test.cpp
+++ b/libs/pool/test/random_run_test.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
 #include <queue>
@@ -53,8 +54,19 @@
         outlive_restarts
     };
 
-    pool_simulation(std::uint64_t seed, late_calls late)
-        : random_(seed), late_calls_(late)
+    /// How long commits take.
+    enum class commit_times
+    {
+        short_ones,
+        /// The disk of the owner is slow for some seconds at a time. Entries
+        /// are committed in the order of their proposals, and those that are
+        /// undecided when the owner changes may be lost.
+        up_to_seconds
+    };
+
+    pool_simulation(std::uint64_t seed, late_calls late,
+                    commit_times commits = commit_times::short_ones)
+        : random_(seed), late_calls_(late), commit_times_(commits)
     {
         for (int i = 0; i < 8; ++i) {
             worker_info info;
@@ -115,8 +127,61 @@
         }
     };
 
+    /// Commands of an entry of the log that is not committed yet.
+    struct log_entry
+    {
+        pool_batch commands_;
+        std::function<void()> on_applied_;
+    };
+
+    /// Proposes a command of a client or a worker.
+    void propose(const pool_command& command)
+    {
+        if (commit_times_ == commit_times::short_ones)
+            apply(command);
+        else
+            append({{command}, nullptr});
+    }
+
+    void append(log_entry entry)
+    {
+        duration delay = std::chrono::milliseconds(10 + pick(20));
+        if (now_ < slow_until_)
+            delay = std::chrono::milliseconds(pick(8000));
+        commit_at_ = std::max(commit_at_, now_ + delay);
+        std::uint64_t index = next_index_++;
+        log_.emplace(index, std::move(entry));
+        schedule_after(commit_at_ - now_, [this, index] { commit(index); });
+    }
+
+    void commit(std::uint64_t index)
+    {
+        auto found = log_.extract(index);
+        // Lost with its owner.
+        if (!found)
+            return;
+        for (const pool_command& command : found.mapped().commands_)
+            apply(command);
+        if (found.mapped().on_applied_)
+            found.mapped().on_applied_();
+    }
+
+    /// The next owner has the first ones of the undecided entries. Their
+    /// proposer does not learn of that.
+    void resolve_log()
+    {
+        std::uint64_t kept = log_.empty() ? 0 : pick(log_.size() + 1);
+        for (; kept > 0; --kept) {
+            log_.begin()->second.on_applied_ = nullptr;
+            commit(log_.begin()->first);
+        }
+        log_.clear();
+        commit_at_ = now_;
+    }
+
     void apply(const pool_command& command)
     {
+        check_end(command);
         state_.apply(command);
         for (owner_slot& slot : owners_) {
             if (!slot.is_replaced_)
@@ -143,6 +208,8 @@
 
     void inject_faults()
     {
+        if (commit_times_ == commit_times::up_to_seconds)
+            inject_slow_commits();
         if (chance(0.02))
             submit();
         if (chance(0.002) && !submitted_.empty())
@@ -171,6 +238,17 @@
         }
     }
 
+    /// Short cuts beside slow commits: workers answer again while the ends that
+    /// were proposed meanwhile are undecided.
+    void inject_slow_commits()
+    {
+        if (chance(0.002))
+            slow_until_ = now_ + 500ms + std::chrono::milliseconds(pick(6000));
+        if (chance(0.02))
+            partitioned_until_[pick_worker()] =
+                now_ + std::chrono::milliseconds(pick(1500));
+    }
+
     void change_capacity(fake_worker& worker)
     {
         auto accelerators = static_cast<std::int64_t>(pick(9));
@@ -252,7 +330,7 @@
         }
         job.access_ = access_to(static_cast<int>(pick(3)));
         job.request_ = job.spec_.id_.str();
-        apply(job);
+        propose(job);
         specs_.emplace(job.spec_.id_, job.spec_);
         submitted_.emplace_back(job.spec_.id_, job.access_);
         if (chance(0.1))
@@ -262,7 +340,7 @@
     void cancel()
     {
         const auto& [id, access] = submitted_[pick(submitted_.size())];
-        apply(cancel_job{id, access});
+        propose(cancel_job{id, access});
     }
 
     /// Returns access to the queue of a priority.
@@ -303,6 +381,7 @@
                 });
             });
         }
+        resolve_log();
         replaced_at_ = now_;
         owner_slot next;
         next.term_ = ++term_;
@@ -320,6 +399,14 @@
         return found != partitioned_until_.end() && now_ < found->second;
     }
 
+    static bool is_registered(const pool_state& state,
+                              const fake_worker& worker)
+    {
+        auto known = state.workers().find(worker.info_.name_);
+        return known != state.workers().end() &&
+               known->second.info_ == worker.info_;
+    }
+
     void announce()
     {
         if (now_.time_since_epoch() % 1s != 0s)
@@ -327,14 +414,16 @@
         for (auto& [name, worker] : workers_) {
             if (is_partitioned(name))
                 continue;
-            auto known = state_.workers().find(name);
-            if (known == state_.workers().end() ||
-                known->second.info_ != worker.info_)
+            if (!is_registered(state_, worker))
                 commit_announcement(worker);
-            for (owner_slot& slot : owners_)
-                slot.owner_->record_announcement(name,
-                                                 worker.info_.incarnation_,
-                                                 worker.clock_ms(now_), now_);
+            // A changed one is recorded once it is committed, which a replaced
+            // owner does not see.
+            for (owner_slot& slot : owners_) {
+                if (is_registered(*slot.state_, worker))
+                    slot.owner_->record_announcement(
+                        name, worker.info_.incarnation_, worker.clock_ms(now_),
+                        now_);
+            }
         }
     }
 
@@ -349,7 +438,7 @@
             owner.replace_incarnations(info, worker.confirm(token, now_), token,
                                        now_);
         }
-        apply(put_worker{info});
+        propose(put_worker{info});
     }
 
     void tick_owners()
@@ -375,24 +464,31 @@
 
     void execute(std::uint64_t term, owner_output output)
     {
+        pool_batch batch = output.observations_;
+        batch.insert(batch.end(), output.starts_.begin(), output.starts_.end());
+        auto on_settled = [this, term, proposal = output.proposal_,
+                           has_ends = !output.observations_.empty(),
+                           has_starts = !output.starts_.empty()] {
+            pool_owner* owner = find_owner(term);
+            if (owner != nullptr && has_ends)
+                owner->proposal_settled(proposal, now_);
+            if (owner != nullptr && has_starts)
+                owner->starts_resolved();
+        };
         // Only the latest owner can commit.
         bool commits = term == term_;
-        auto batch = std::make_shared<pool_batch>(output.observations_);
-        batch->insert(batch->end(), output.starts_.begin(),
-                      output.starts_.end());
-        bool has_starts = !output.starts_.empty();
-        if (!batch->empty()) {
+        if (!batch.empty() && commits &&
+            commit_times_ == commit_times::up_to_seconds)
+            append({std::move(batch), on_settled});
+        else if (!batch.empty())
             schedule_after(std::chrono::milliseconds(10 + pick(20)),
-                           [this, term, commits, batch, has_starts] {
-                               if (commits && term == term_) {
-                                   for (const pool_command& item : *batch)
-                                       apply(item);
-                               }
-                               pool_owner* owner = find_owner(term);
-                               if (owner != nullptr && has_starts)
-                                   owner->starts_resolved();
+                           [this, term, commits, batch, on_settled] {
+                               if (!commits || term != term_)
+                                   return;
+                               for (const pool_command& item : batch)
+                                   apply(item);
+                               on_settled();
                            });
-        }
         for (const worker_call& call : output.calls_)
             send(term, call);
     }
@@ -400,7 +496,7 @@
     void send(std::uint64_t term, const worker_call& call)
     {
         if (const auto* start = std::get_if<start_call>(&call.operation_))
-            check_start_request(*start);
+            check_start_request(*start, term);
         bool faults_active = now_ < instant(fault_duration);
         bool partitioned = is_partitioned(call.worker_);
         bool delayed = faults_active && !partitioned && chance(0.05);
@@ -465,6 +561,11 @@
                           << to_milliseconds(now_ - worker.started_at_)
                           << " ms old");
             check_started_run(*start, worker);
+            started_.insert(start->run_);
+            if (in_time) {
+                INFO(to_text(start->run_) << " has an end");
+                REQUIRE(!closed_.contains(start->run_));
+            }
             if (in_time) {
                 INFO(to_text(start->run_) << " on " << call.worker_.str());
                 CHECK(!is_over_capacity(worker));
@@ -492,9 +593,16 @@
 
     // --- Invariants
 
-    void check_start_request(const start_call& request)
+    // A replaced owner goes by its own state: the job may be final by now and
+    // have no records.
+    void check_start_request(const start_call& request, std::uint64_t term)
     {
-        const job_record* job = state_.find_job(request.run_.task_.job_);
+        auto sender = std::find_if(
+            owners_.begin(), owners_.end(),
+            [term](const owner_slot& item) { return item.term_ == term; });
+        REQUIRE(sender != owners_.end());
+        const job_record* job =
+            sender->state_->find_job(request.run_.task_.job_);
         REQUIRE(job != nullptr);
         const task_ref& at = request.run_.task_;
         INFO(to_text(request.run_));
@@ -522,6 +630,19 @@
         }
     }
 
+    // A run that is refused was never started, and one that is closed never
+    // starts after that.
+    void check_end(const pool_command& command)
+    {
+        const auto* end = std::get_if<end_unreported_run>(&command);
+        if (end == nullptr || !state_.runs_on(end->worker_).contains(end->run_))
+            return;
+        closed_.insert(end->run_);
+        INFO(to_text(end->run_) << " on " << end->worker_.str());
+        REQUIRE((end->outcome_ != run_outcome::refused ||
+                 !started_.contains(end->run_)));
+    }
+
     // The successes of a worker that shut down in order are all recorded.
     void check_shutdown(const fake_worker& worker)
     {
@@ -562,7 +683,13 @@
             most = std::max(most, losses);
         }
         for (const auto& item : submitted_) {
-            const job_record& job = *state_.find_job(item.first);
+            const job_record* stored = state_.find_job(item.first);
+            // Its submission may be lost with the owner.
+            if (stored == nullptr &&
+                commit_times_ == commit_times::up_to_seconds)
+                continue;
+            REQUIRE(stored != nullptr);
+            const job_record& job = *stored;
             INFO(item.first.str() << ": " << job.failure_);
             CHECK((!job.was_given_up_ || most_losses[item.first] >= 2));
         }
@@ -616,11 +743,23 @@
         return text;
     }
 
-    bool all_jobs_final() const { return state_.active_jobs().empty(); }
+    bool all_jobs_final() const
+    {
+        return state_.active_jobs().empty() && log_.empty();
+    }
 
     std::mt19937_64 random_;
     late_calls late_calls_;
+    commit_times commit_times_;
     instant now_{};
+    /// Undecided entries, by index.
+    std::map<std::uint64_t, log_entry> log_;
+    std::uint64_t next_index_ = 1;
+    instant commit_at_{};
+    instant slow_until_{};
+    std::set<run_ref> started_;
+    /// Runs that were ended without a report of their worker.
+    std::set<run_ref> closed_;
     pool_state state_;
     std::map<worker_name, fake_worker> workers_;
     std::vector<owner_slot> owners_;
@@ -645,7 +784,9 @@
 
 /// Runs the simulation with the default seeds, or with those that the
 /// environment names: DANDELIONCRANK_FIRST_SEED, DANDELIONCRANK_SEED_COUNT.
-void run_seeds(std::uint64_t default_count, pool_simulation::late_calls late)
+void run_seeds(std::uint64_t default_count, pool_simulation::late_calls late,
+               pool_simulation::commit_times commits =
+                   pool_simulation::commit_times::short_ones)
 {
     auto number = [](const char* name, std::uint64_t otherwise) {
         const char* text = std::getenv(name);
@@ -656,7 +797,7 @@
     REQUIRE(count > 0);
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
         INFO("seed " << seed);
-        pool_simulation(seed, late).run();
+        pool_simulation(seed, late, commits).run();
     }
 }
 
@@ -675,3 +816,12 @@
 {
     run_seeds(20, pool_simulation::late_calls::outlive_restarts);
 }
+
+// A start was sent 400 ms after its run was proposed as refused; the refusal
+// was committed later, and the task was started elsewhere as well (review/6).
+TEST_CASE("no task runs twice while commits are held back",
+          "[pool_held_commits]")
+{
+    run_seeds(20, pool_simulation::late_calls::end_with_the_process,
+              pool_simulation::commit_times::up_to_seconds);
+}
--- a/libs/replica/include/dandelioncrank/replica/replica.hpp
+++ b/libs/replica/include/dandelioncrank/replica/replica.hpp
@@ -43,6 +43,7 @@
     using reply = typename Machine::reply;
     using propose_handler =
         std::function<void(commit_result, std::optional<reply>)>;
+    using settled_handler = std::function<void()>;
     using read_handler = std::function<void(bool granted)>;
     using send_action = std::function<void(const consensus_message&)>;
     /// Runs `write` on another thread, then `on_done` on this one, with the
@@ -93,25 +94,30 @@
         expire(now);
     }
 
-    /// Proposes a command. Calls the handler once the outcome is known, at
-    /// once if this replica is not the leader.
+    /// Proposes a command. Calls the first handler once the outcome is known or
+    /// the time limit has passed, at once if this replica is not the leader.
+    /// Calls the second one when the command has been applied or certainly
+    /// never will be, however long that takes; not called if this replica has
+    /// lost the leadership before that.
     void propose(const QByteArray& command, instant now,
-                 propose_handler on_answer)
+                 propose_handler on_answer,
+                 settled_handler on_settled = nullptr)
     {
         auto index =
             failure_.empty() ? core_->propose(command, now) : std::nullopt;
         if (!index) {
             on_answer(commit_result::rejected, std::nullopt);
+            if (on_settled)
+                on_settled();
             return;
         }
         pending_proposal item{core_->status().term_, now + commit_timeout,
-                              std::move(on_answer)};
+                              std::move(on_answer), std::move(on_settled)};
         std::swap(item, pending_proposals_[*index]);
         process_output(now);
         // An earlier proposal of this replica was at the same index until
         // another leader replaced it; a member may still have it.
-        if (item.on_answer_)
-            item.on_answer_(commit_result::unknown, std::nullopt);
+        answer(item, commit_result::unknown, std::nullopt);
     }
 
     /// Linearizable read: calls the handler once the state reflects every
@@ -198,7 +204,9 @@
     {
         term_number term_ = 0;
         instant deadline_;
+        /// Empty once it was called.
         propose_handler on_answer_;
+        settled_handler on_settled_;
     };
 
     struct pending_write
@@ -229,7 +237,7 @@
         log_.error("Replica stopped: " + reason + ".");
         auto pending = std::exchange(pending_proposals_, {});
         for (auto& item : pending)
-            item.second.on_answer_(commit_result::unknown, std::nullopt);
+            answer(item.second, commit_result::unknown, std::nullopt);
         while (!pending_reads_.empty())
             finish_read(pending_reads_.begin()->first, false);
     }
@@ -320,6 +328,7 @@
                 machine_.restore(output.restore_->state_);
             applied_ = output.restore_->index_;
             applied_bytes_ = 0;
+            drop_proposals_up_to(applied_);
         }
         for (const log_entry& entry : output.committed_)
             apply(entry);
@@ -341,20 +350,41 @@
     {
         applied_ = entry.index_;
         applied_bytes_ += entry.data_.size();
-        std::optional<reply> answer;
+        std::optional<reply> result;
         if (entry.kind_ == entry_kind::command)
-            answer = machine_.apply(entry.data_);
+            result = machine_.apply(entry.data_);
         auto found = pending_proposals_.find(entry.index_);
         if (found == pending_proposals_.end())
             return;
         pending_proposal item = std::move(found->second);
         pending_proposals_.erase(found);
         if (item.term_ == entry.term_)
-            item.on_answer_(commit_result::committed, std::move(answer));
+            answer(item, commit_result::committed, std::move(result));
         else
             // An entry of another leader was committed at this index, so the
             // proposal will never be committed.
-            item.on_answer_(commit_result::rejected, std::nullopt);
+            answer(item, commit_result::rejected, std::nullopt);
+        if (item.on_settled_)
+            item.on_settled_();
+    }
+
+    static void answer(pending_proposal& item, commit_result end,
+                       std::optional<reply> result)
+    {
+        if (auto handler = std::exchange(item.on_answer_, nullptr))
+            handler(end, std::move(result));
+    }
+
+    // A leader restores no snapshot, so these are proposals of an earlier term.
+    void drop_proposals_up_to(log_index index)
+    {
+        while (!pending_proposals_.empty() &&
+               pending_proposals_.begin()->first <= index) {
+            pending_proposal item =
+                std::move(pending_proposals_.begin()->second);
+            pending_proposals_.erase(pending_proposals_.begin());
+            answer(item, commit_result::unknown, std::nullopt);
+        }
     }
 
     void finish_read(std::uint64_t token, bool granted)
@@ -376,8 +406,11 @@
                 ++it;
                 continue;
             }
-            expired.push_back(std::move(it->second.on_answer_));
-            it = pending_proposals_.erase(it);
+            if (it->second.on_answer_)
+                expired.push_back(
+                    std::exchange(it->second.on_answer_, nullptr));
+            it = it->second.on_settled_ ? std::next(it)
+                                        : pending_proposals_.erase(it);
         }
         for (propose_handler& handler : expired)
             handler(commit_result::unknown, std::nullopt);
--- a/libs/replica/test/replica_test.cpp
+++ b/libs/replica/test/replica_test.cpp
@@ -36,10 +36,21 @@
 
     void propose(const QByteArray& command)
     {
-        replica_.propose(command, now_,
-                         [this, command](commit_result result, const auto&) {
-                             results_[command].push_back(result);
-                         });
+        replica_.propose(
+            command, now_,
+            [this, command](commit_result result, const auto&) {
+                results_[command].push_back(result);
+            },
+            [this, command] { settled_.push_back(command); });
+    }
+
+    /// Stays the leader while nothing is committed.
+    void lead_without_commits(duration time)
+    {
+        for (duration passed{}; passed < time; passed += 100ms) {
+            wait(100ms);
+            receive("b", status().term_, append_reply{true, 1, 0});
+        }
     }
 
     void receive(const std::string& from, term_number term,
@@ -68,6 +79,7 @@
     }
 
     std::map<QByteArray, std::vector<commit_result>> results_;
+    std::vector<QByteArray> settled_;
 
   private:
     void grant_vote(const consensus_message& message)
@@ -135,3 +147,39 @@
     REQUIRE(tested.status().commit_ > entries);
     CHECK(tested.disk_bytes() < entries * entry_bytes / 2);
 }
+
+// A time-out was taken for the end of a proposal, which was committed later all
+// the same (review/6).
+TEST_CASE("a proposal is settled when it is applied, not when its time is over",
+          "[replica]")
+{
+    replica_under_test tested;
+    tested.propose("too early");
+    CHECK(tested.settled_ == std::vector<QByteArray>{"too early"});
+    tested.settled_.clear();
+    tested.elect();
+    tested.propose("first");
+    tested.propose("second");
+    tested.lead_without_commits(4s);
+    REQUIRE(tested.status().role_ == replica_role::leader);
+    CHECK(tested.results_["first"] == std::vector{commit_result::unknown});
+    CHECK(tested.settled_.empty());
+    SECTION("it is committed")
+    {
+        tested.receive("b", tested.status().term_, append_reply{true, 3, 0});
+        CHECK(tested.settled_ == std::vector<QByteArray>{"first", "second"});
+        // Each answer is given once.
+        CHECK(tested.results_["first"] == std::vector{commit_result::unknown});
+    }
+    SECTION("another leader has a snapshot beyond it")
+    {
+        term_number term = tested.status().term_ + 1;
+        log_snapshot snapshot;
+        snapshot.index_ = 9;
+        snapshot.term_ = term;
+        snapshot.members_ = tested.status().members_;
+        tested.receive("b", term, snapshot_request{snapshot});
+        REQUIRE(tested.status().commit_ == 9);
+        CHECK(tested.settled_.empty());
+    }
+}
