Jobs have the policy that their queue has now, not at their acceptance

Cause: accept_job copied the policy of the route into the job, with the service, the priority, the attempts, stretch and target. Placement, the check of a start in the log and the rank read the copy, which no configuration reached. Ruled out: a configuration that is not in force and room that is kept free (a later job runs at once in the same case).

Change: the state has the queues with the policy of the route in force, or of the last one; a job refers to its queue. put_config binds them at its place in the log, in time that follows the routes, not the jobs. Runs under way go on; what starts later goes to the new service; a planned start for the old one is rejected. Lower attempts fail a job where its task would start again. A line says what moves; waiting_jobs_without_workers is a gauge.

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -46,6 +46,8 @@
 constexpr std::chrono::milliseconds max_entry_hello_interval = 500ms;
 // Time that a graceful shutdown waits for another host to become the leader.
 constexpr duration leadership_transfer_timeout = 1500ms;
+// Interval at which the gauges of the state are updated.
+constexpr duration state_report_interval = 500ms;
 } // namespace
 
 class control_host::implementation
@@ -84,8 +86,8 @@
     void log_events(const std::vector<pool::owner_event>& events);
     void send_calls(const std::vector<pool::worker_call>& calls);
     void tick();
-    /// Updates the gauges of the state's weight.
-    void report_weight();
+    /// Updates the gauges of the state.
+    void report_state(instant now);
 
     [[nodiscard]] bool is_leader() const { return replica_->is_leader(); }
     [[nodiscard]] const pool::pool_state& state() const
@@ -131,7 +133,7 @@
     std::function<void()> on_stopped_;
     instant stop_began_at_{};
     bool failure_reported_ = false;
-    std::optional<std::uint64_t> reported_weight_;
+    instant state_reported_at_{};
 };
 
 control_host::implementation::implementation(control_host& host,
@@ -533,22 +535,25 @@
     }
 }
 
-void control_host::implementation::report_weight()
+void control_host::implementation::report_state(instant now)
 {
-    std::uint64_t weight = state().weight();
-    if (reported_weight_ == weight)
+    if (now - state_reported_at_ < state_report_interval)
         return;
-    reported_weight_ = weight;
-    metrics_.set_gauge("state_weight_bytes", static_cast<double>(weight));
+    state_reported_at_ = now;
+    metrics_.set_gauge("state_weight_bytes",
+                       static_cast<double>(state().weight()));
     metrics_.set_gauge("state_weight_limit_bytes",
                        static_cast<double>(settings_.weight_limit_));
+    metrics_.set_gauge(
+        "waiting_jobs_without_workers",
+        static_cast<double>(state().waiting_jobs_without_workers()));
 }
 
 void control_host::implementation::tick()
 {
     instant now = steady_now();
     loop_report_.tick(now);
-    report_weight();
+    report_state(now);
     activity_meter::scope scope(meter_, consensus);
     replica_->tick(now);
     if (!replica_->failure().empty() && !failure_reported_) {
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -25,14 +25,33 @@
 
 [[nodiscard]] std::string to_text(job_phase value);
 
+/// A queue that a route in force names, or whose jobs are not over.
+struct queue_record
+{
+    /// Policy of the route in force; without a route, of the last one.
+    queue_policy policy_;
+    /// Version of the last configuration with a route to it.
+    std::uint64_t config_version_ = 0;
+
+    // Derived.
+    /// Jobs that are not final or may still have runs.
+    std::uint64_t active_jobs_ = 0;
+    std::uint64_t open_jobs_ = 0;
+    /// Open jobs of which no worker has begun a task.
+    std::uint64_t waiting_jobs_ = 0;
+};
+
 struct job_record
 {
     /// Without payload and steps once the job is final and has no runs.
     job_spec spec_;
-    queue_policy queue_;
-    /// Its queue; empty if an earlier build has stored it, which went by the
-    /// name of the route, and no configuration has bound it since.
+    /// Policy at its acceptance, with the name of the route, if an earlier
+    /// build has stored it and no configuration has bound it to a queue since.
+    queue_policy accepted_policy_;
+    /// Its queue; empty as long as the accepted policy holds.
     queue_address address_;
+    /// The record of its queue while it is active; derived.
+    queue_record* queue_ = nullptr;
     team_name team_;
     std::int64_t accepted_ms_ = 0;
     /// Request identifier of the call that stored it.
@@ -49,6 +68,11 @@
     /// What it counts in pool_state::weight(); derived.
     std::uint64_t weight_ = 0;
 
+    /// The policy that holds for an active job now.
+    [[nodiscard]] const queue_policy& policy() const
+    {
+        return queue_ == nullptr ? accepted_policy_ : queue_->policy_;
+    }
     [[nodiscard]] bool is_final() const { return phase_ != job_phase::open; }
     [[nodiscard]] std::uint32_t occurrence_count() const
     {
@@ -63,8 +87,8 @@
     {
         // Earlier builds stored all occurrences here.
         std::vector<occurrence_record> all_occurrences;
-        archive(spec_, queue_, team_, accepted_ms_, accepted_by_, phase_,
-                has_started_, all_occurrences);
+        archive(spec_, accepted_policy_, team_, accepted_ms_, accepted_by_,
+                phase_, has_started_, all_occurrences);
         archive.appended(failure_, was_given_up_, occurrences_, address_);
         occurrences_.adopt(std::move(all_occurrences));
     }
@@ -90,7 +114,8 @@
 /// A decision of the replicated state, for the log of the owner.
 struct pool_notice
 {
-    job_id job_;
+    /// The job or the queue.
+    std::string subject_;
     std::string message_;
     /// Metric that counts notices of this kind.
     const char* counter_ = nullptr;
@@ -167,6 +192,12 @@
     }
     /// Number of jobs of a route's queue of which no worker has begun a task.
     [[nodiscard]] std::uint64_t waiting_jobs(const queue_route& route) const;
+    [[nodiscard]] const std::map<queue_address, queue_record>& queues() const
+    {
+        return queues_;
+    }
+    /// Number of waiting jobs of queues whose service has no workers.
+    [[nodiscard]] std::uint64_t waiting_jobs_without_workers() const;
     /// Memory that the jobs need at the peak, in bytes; see state_weight.hpp.
     [[nodiscard]] std::uint64_t weight() const { return weight_; }
     /// Specification of a task of an active job.
@@ -187,9 +218,13 @@
     {
         std::vector<job_id> final_jobs(final_jobs_.jobs().begin(),
                                        final_jobs_.jobs().end());
+        // The other queues have the policy of their routes.
+        std::map<queue_address, queue_policy> unrouted = unrouted_policies();
         archive(config_, jobs_, workers_, final_jobs, ended_incarnations_);
-        archive.appended(final_jobs_);
+        archive.appended(final_jobs_, unrouted);
         final_jobs_.assign(final_jobs);
+        for (const auto& [address, policy] : unrouted)
+            queues_.try_emplace(address, queue_record{policy});
     }
 
   private:
@@ -219,7 +254,8 @@
     void apply_late_success(const run_ref& run);
     static void store_checkpoint(step_record& step, std::uint32_t index,
                                  const checkpoint_record& checkpoint);
-    void count_failure(job_record& job, step_record& step, const run_ref& run);
+    static void count_failure(const job_record& job, step_record& step,
+                              const run_ref& run);
     /// The job fails unless it is final; says so in a notice.
     void fail(job_record& job, const std::string& reason, const char* counter);
     /// Records the loss of a worker for what ran there, and gives up what is
@@ -235,11 +271,33 @@
     [[nodiscard]] exposure make_exposure(const exposed_run& item) const;
     void finish(job_record& job, job_phase phase);
     void mark_started(const job_id& id);
-    /// The jobs that go by the name of a route get the queue that it names.
-    void bind_jobs(const pool_config& before);
+    /// Gives the queues the policies of the configuration in force.
+    void bind_queues(std::uint64_t earlier_version);
+    /// Keeps the queues without a route that have jobs.
+    void release_queues(std::uint64_t earlier_version);
+    void change_policy(const queue_address& address, queue_record& queue,
+                       const queue_policy& policy);
+    /// Binds jobs that go by the name of a route to the queue that it names.
+    void bind_jobs(const pool_config& config);
+    /// Makes an active job count in its queue, or not any more.
+    void join_queue(job_record& job);
+    void leave_queue(job_record& job);
+    [[nodiscard]] bool has_route(const queue_record& queue) const
+    {
+        return queue.config_version_ == config_.version_;
+    }
+    /// Policies of the queues without a route.
+    [[nodiscard]] std::map<queue_address, queue_policy>
+    unrouted_policies() const;
+    /// Fails the jobs of a queue with tasks that may not start again.
+    void fail_exhausted_jobs(const queue_record& queue);
+    /// The job fails if a task that is not done has failed too often.
+    void check_attempts(job_record& job, const task_ref& at);
     /// Updates the number of waiting jobs when one starts or stops waiting.
     void count_waiting(const job_record& job, int change);
-    void add_notice(const job_id& job, std::string message,
+    /// Updates the number of workers of a service.
+    void count_worker(const worker_info& info, int change);
+    void add_notice(const std::string& subject, std::string message,
                     const char* counter);
     void refresh_job(const job_id& id);
     /// Makes room for a job by evicting final ones. Returns false if the limit
@@ -271,7 +329,10 @@
 
     // Derived from the above.
     std::uint64_t weight_ = 0;
-    std::map<queue_address, std::uint64_t> waiting_;
+    std::map<queue_address, queue_record> queues_;
+    /// Waiting jobs that go by the name of a route, by that name.
+    std::map<std::string, std::uint64_t> waiting_unbound_;
+    std::map<service_name, std::uint64_t> workers_of_service_;
     /// Number of jobs that go by the name of a route.
     std::uint64_t unbound_jobs_ = 0;
     std::set<job_id> active_;
--- a/libs/pool/src/job_value.cpp
+++ b/libs/pool/src/job_value.cpp
@@ -57,8 +57,8 @@
     duration total = critical_path(job, nullptr);
     duration remaining = critical_path(job, job.occurrences_.find(occurrence));
     auto objective =
-        std::chrono::duration_cast<duration>(total * job.queue_.stretch_) +
-        job.queue_.target_;
+        std::chrono::duration_cast<duration>(total * job.policy().stretch_) +
+        job.policy().target_;
     if (age + remaining > expiry_factor * objective)
         return job_lateness::expired;
     return age + remaining > objective ? job_lateness::late
--- a/libs/pool/src/pending_unit.cpp
+++ b/libs/pool/src/pending_unit.cpp
@@ -30,7 +30,7 @@
 {
     if (unit.is_guaranteed_)
         return 0;
-    int priority = std::min(unit.job_->queue_.priority_, max_ranked_priority);
+    int priority = std::min(unit.job_->policy().priority_, max_ranked_priority);
     switch (lateness_of(*unit.job_, unit.occurrence_, unit.age_)) {
     case job_lateness::on_time:
         return 2 * priority + 1;
@@ -180,7 +180,7 @@
 // resources that it frees by preemption.
 bool pending_unit::may_preempt() const
 {
-    return job_->queue_.priority_ == 0 && rank_ < expired_rank_offset;
+    return job_->policy().priority_ == 0 && rank_ < expired_rank_offset;
 }
 
 guarantee_usage compute_guarantee_usage(const pool_state& state)
@@ -188,7 +188,7 @@
     std::map<team_name, std::vector<const job_record*>> by_team;
     for (const job_id& id : state.active_jobs()) {
         const job_record& job = *state.find_job(id);
-        if (job.queue_.priority_ == 0 && !job.is_final())
+        if (job.policy().priority_ == 0 && !job.is_final())
             by_team[job.team_].push_back(&job);
     }
     guarantee_usage result;
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -168,7 +168,7 @@
 
     [[nodiscard]] bool leaves_headroom(const pending_unit& unit) const
     {
-        int priority = unit.job_->queue_.priority_;
+        int priority = unit.job_->policy().priority_;
         std::int64_t need = unit.accelerators();
         // Guarantees may exceed the capacity of the remaining workers, so an
         // underused pool takes the work regardless.
--- a/libs/pool/src/placement_search.cpp
+++ b/libs/pool/src/placement_search.cpp
@@ -32,7 +32,7 @@
     const step_spec& spec = unit.spec();
     const worker_info& info = *where.info_;
     return spec.need_.fits_into(info.capacity_) &&
-           info.service_ == unit.job_->queue_.service_ &&
+           info.service_ == unit.job_->policy().service_ &&
            (spec.required_label_.empty() ||
             info.labels_.contains(spec.required_label_));
 }
@@ -54,7 +54,7 @@
 {
     if (what.is_ending_)
         return true;
-    if (what.priority_ > unit.job_->queue_.priority_)
+    if (what.priority_ > unit.job_->policy().priority_)
         return true;
     return unit.is_guaranteed_ && !what.is_guaranteed_;
 }
@@ -127,7 +127,7 @@
 std::optional<placement>
 placement_search::find_free_anywhere(const pending_unit& unit)
 {
-    auto service = table_.find_service(unit.job_->queue_.service_);
+    auto service = table_.find_service(unit.job_->policy().service_);
     if (!service)
         return std::nullopt;
     const step_spec& spec = unit.spec();
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -335,7 +335,7 @@
     auto count = std::min<std::size_t>(unseen, notices.size());
     for (auto it = notices.end() - static_cast<std::ptrdiff_t>(count);
          it != notices.end(); ++it)
-        output_.events_.push_back({it->job_.str(), it->message_, it->counter_});
+        output_.events_.push_back({it->subject_, it->message_, it->counter_});
 }
 
 void pool_owner::handle_result(std::uint64_t call, const call_result& result,
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -48,23 +48,11 @@
     return false;
 }
 
-// Jobs that go by the name of a route are counted under an address that no
-// queue has.
-queue_address address_of_name(const std::string& route)
-{
-    return {{}, route};
-}
-
-queue_address counted_queue(const job_record& job)
-{
-    return job.address_.empty() ? address_of_name(job.queue_.name_)
-                                : job.address_;
-}
-
 bool is_in_queue(const job_record& job, const queue_route& route)
 {
-    return job.address_.empty() ? job.queue_.name_ == route.policy_.name_
-                                : job.address_ == route.address();
+    return job.address_.empty()
+               ? job.accepted_policy_.name_ == route.policy_.name_
+               : job.address_ == route.address();
 }
 
 bool has_path(const job_record& job, const queue_access& access)
@@ -137,11 +125,10 @@
         return pool_reply::unchanged;
     job_record job;
     job.spec_ = command.spec_;
-    job.queue_ = access.route_->policy_;
     if (command.identity_ == queue_identity::address)
         job.address_ = access.route_->address();
     else
-        ++unbound_jobs_;
+        job.accepted_policy_ = access.route_->policy_;
     job.team_ = access.team_;
     job.accepted_ms_ = command.accepted_ms_;
     job.accepted_by_ = command.request_;
@@ -151,8 +138,9 @@
         return pool_reply::no_room;
     auto stored = jobs_.emplace(id, std::move(job)).first;
     job_index_.emplace(id, &stored->second);
+    unbound_jobs_ += stored->second.address_.empty() ? 1 : 0;
     active_.insert(id);
-    count_waiting(stored->second, 1);
+    join_queue(stored->second);
     update_weight(stored->second);
     return pool_reply::applied;
 }
@@ -179,37 +167,157 @@
 {
     if (command.config_.version_ <= config_.version_)
         return pool_reply::unchanged;
-    pool_config before = std::exchange(config_, command.config_);
-    if (command.identity_ == queue_identity::address)
-        bind_jobs(before);
+    // All replicas do this at the same place in the log, also those that have
+    // read the jobs from a snapshot of an earlier build.
+    bool binds_jobs = command.identity_ == queue_identity::address;
+    if (binds_jobs)
+        bind_jobs(config_);
+    std::uint64_t earlier_version = config_.version_;
+    config_ = command.config_;
+    bind_queues(earlier_version);
+    if (binds_jobs)
+        bind_jobs(config_);
     return pool_reply::applied;
 }
 
-// All replicas do this at the same place in the log, also those that have read
-// the jobs from a snapshot of an earlier build.
-void pool_state::bind_jobs(const pool_config& before)
+// --- Queues
+
+// Everything that a route says of its queue holds for the queue's jobs from
+// here on, whenever they were accepted. Runs under way go on.
+void pool_state::bind_queues(std::uint64_t earlier_version)
+{
+    std::uint64_t version = config_.version_;
+    for (const queue_route& route : config_.routes_) {
+        auto [found, is_new] = queues_.try_emplace(
+            route.address(), queue_record{route.policy_, version});
+        queue_record& queue = found->second;
+        if (is_new || queue.config_version_ == version)
+            continue;
+        if (queue.config_version_ != earlier_version)
+            add_notice(to_text(found->first),
+                       "queue has a route again with configuration " +
+                           std::to_string(version) + ": " +
+                           std::to_string(queue.open_jobs_) + " open jobs",
+                       nullptr);
+        queue.config_version_ = version;
+        change_policy(found->first, queue, route.policy_);
+    }
+    release_queues(earlier_version);
+}
+
+void pool_state::release_queues(std::uint64_t earlier_version)
+{
+    for (auto it = queues_.begin(); it != queues_.end();) {
+        const auto& [address, queue] = *it;
+        if (!has_route(queue) && queue.active_jobs_ == 0) {
+            it = queues_.erase(it);
+            continue;
+        }
+        if (queue.config_version_ == earlier_version)
+            add_notice(to_text(address),
+                       "queue has no route in configuration " +
+                           std::to_string(config_.version_) + "; its " +
+                           std::to_string(queue.open_jobs_) +
+                           " open jobs stay with service " +
+                           queue.policy_.service_.str(),
+                       nullptr);
+        ++it;
+    }
+}
+
+void pool_state::change_policy(const queue_address& address,
+                               queue_record& queue, const queue_policy& policy)
+{
+    queue_policy before = std::exchange(queue.policy_, policy);
+    if (before.service_ != policy.service_ && queue.open_jobs_ > 0)
+        add_notice(to_text(address),
+                   "queue moves from service " + before.service_.str() +
+                       " to " + policy.service_.str() + " with " +
+                       std::to_string(queue.open_jobs_) + " open jobs, " +
+                       std::to_string(queue.waiting_jobs_) + " of them waiting",
+                   "queues_moved");
+    if (policy.attempts_ < before.attempts_ && queue.open_jobs_ > 0)
+        fail_exhausted_jobs(queue);
+}
+
+void pool_state::fail_exhausted_jobs(const queue_record& queue)
+{
+    std::vector<job_id> jobs;
+    for (const job_id& id : active_) {
+        if (job_at(id).queue_ == &queue)
+            jobs.push_back(id);
+    }
+    for (const job_id& id : jobs) {
+        job_record& job = job_at(id);
+        for (const auto& [number, occurrence] : job.occurrences_.records()) {
+            for (std::uint32_t s = 0; s < occurrence.steps_.size(); ++s) {
+                const auto& tasks = occurrence.steps_[s].tasks_;
+                for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+                    if (tasks[i].worker_.empty())
+                        check_attempts(job, {id, number, s, i});
+                }
+            }
+        }
+        refresh_job(id);
+    }
+}
+
+void pool_state::bind_jobs(const pool_config& config)
 {
     if (unbound_jobs_ == 0)
         return;
     for (auto& [id, job] : jobs_) {
         if (!job.address_.empty())
             continue;
-        const queue_route* route = before.find_route_named(job.queue_.name_);
-        if (route == nullptr)
-            route = config_.find_route_named(job.queue_.name_);
+        const queue_route* route =
+            config.find_route_named(job.accepted_policy_.name_);
         if (route == nullptr)
             continue;
-        bool is_waiting = !job.is_final() && !job.has_started_;
-        if (is_waiting)
-            count_waiting(job, -1);
+        bool is_active = active_.contains(id);
+        if (is_active)
+            leave_queue(job);
         job.address_ = route->address();
+        job.accepted_policy_ = {};
         --unbound_jobs_;
-        if (is_waiting)
-            count_waiting(job, 1);
+        if (is_active)
+            join_queue(job);
         update_weight(job);
     }
 }
 
+void pool_state::join_queue(job_record& job)
+{
+    if (!job.address_.empty()) {
+        job.queue_ = &queues_.at(job.address_);
+        ++job.queue_->active_jobs_;
+        job.queue_->open_jobs_ += job.is_final() ? 0 : 1;
+    }
+    if (!job.is_final() && !job.has_started_)
+        count_waiting(job, 1);
+}
+
+void pool_state::leave_queue(job_record& job)
+{
+    if (!job.is_final() && !job.has_started_)
+        count_waiting(job, -1);
+    queue_record* queue = std::exchange(job.queue_, nullptr);
+    if (queue == nullptr)
+        return;
+    queue->open_jobs_ -= job.is_final() ? 0 : 1;
+    if (--queue->active_jobs_ == 0 && !has_route(*queue))
+        queues_.erase(job.address_);
+}
+
+std::map<queue_address, queue_policy> pool_state::unrouted_policies() const
+{
+    std::map<queue_address, queue_policy> result;
+    for (const auto& [address, queue] : queues_) {
+        if (!has_route(queue))
+            result.emplace(address, queue.policy_);
+    }
+    return result;
+}
+
 // --- Workers
 
 pool_reply pool_state::handle(const put_worker& command)
@@ -238,7 +346,11 @@
     }
     for (const end_incarnation& incarnation : replaced)
         handle(incarnation);
+    found = workers_.find(info.name_);
+    if (found != workers_.end())
+        count_worker(found->second.info_, -1);
     workers_[info.name_].info_ = info;
+    count_worker(info, 1);
     ended_incarnations_.erase(info.name_);
     ++workers_revision_;
     return pool_reply::applied;
@@ -298,7 +410,8 @@
     for (const run_ref& run : lost)
         end_run(command.worker_, run, run_outcome::lost,
                 {checkpoints[run], run.run_, false});
-    workers_.erase(command.worker_);
+    count_worker(found->second.info_, -1);
+    workers_.erase(found);
     ++workers_revision_;
     ended_incarnations_[command.worker_] = command.incarnation_;
     if (ended_incarnations_.size() > max_ended_incarnations)
@@ -338,7 +451,7 @@
             worker != workers_.end() &&
             worker->second.info_.incarnation_ == assignment.incarnation_ &&
             !worker->second.info_.is_draining_ &&
-            worker->second.info_.service_ == job.queue_.service_;
+            worker->second.info_.service_ == job.policy().service_;
         if (!usable || assignment.index_ >= spec.count_)
             return false;
         const task_record& task =
@@ -447,10 +560,24 @@
 
 void pool_state::count_waiting(const job_record& job, int change)
 {
-    auto entry = waiting_.try_emplace(counted_queue(job), 0).first;
+    auto difference = static_cast<std::uint64_t>(change);
+    if (job.queue_ != nullptr) {
+        job.queue_->waiting_jobs_ += difference;
+        return;
+    }
+    auto entry =
+        waiting_unbound_.try_emplace(job.accepted_policy_.name_, 0).first;
+    entry->second += difference;
+    if (entry->second == 0)
+        waiting_unbound_.erase(entry);
+}
+
+void pool_state::count_worker(const worker_info& info, int change)
+{
+    auto entry = workers_of_service_.try_emplace(info.service_, 0).first;
     entry->second += static_cast<std::uint64_t>(change);
     if (entry->second == 0)
-        waiting_.erase(entry);
+        workers_of_service_.erase(entry);
 }
 
 void pool_state::end_run(const worker_name& worker, const run_ref& run,
@@ -484,6 +611,7 @@
     if (outcome == run_outcome::failed && !task.is_done_ &&
         !spec.is_long_running_)
         count_failure(job, step, run);
+    check_attempts(job, run.task_);
     job.occurrences_.close_if_done(run.task_.occurrence_);
     refresh_job(run.task_.job_);
 }
@@ -531,23 +659,31 @@
         known = checkpoint;
 }
 
-void pool_state::count_failure(job_record& job, step_record& step,
+void pool_state::count_failure(const job_record& job, step_record& step,
                                const run_ref& run)
 {
-    std::uint32_t failures = 0;
     if (!job.spec_.steps_[run.task_.step_].is_gang_) {
-        failures = ++step.tasks_[run.task_.index_].failures_;
-    } else {
-        if (run.run_ > step.last_failed_run_) {
-            step.last_failed_run_ = run.run_;
-            ++step.gang_failures_;
-        }
-        failures = step.gang_failures_;
+        ++step.tasks_[run.task_.index_].failures_;
+    } else if (run.run_ > step.last_failed_run_) {
+        step.last_failed_run_ = run.run_;
+        ++step.gang_failures_;
     }
-    if (failures >= job.queue_.attempts_)
+}
+
+void pool_state::check_attempts(job_record& job, const task_ref& at)
+{
+    const step_record& step =
+        job.occurrences_.at(at.occurrence_).steps_.at(at.step_);
+    const task_record& task = step.tasks_.at(at.index_);
+    std::uint32_t failures = job.spec_.steps_[at.step_].is_gang_
+                                 ? step.gang_failures_
+                                 : task.failures_;
+    std::uint32_t limit = job.policy().attempts_;
+    if (!task.is_done_ && failures > 0 && failures >= limit)
         fail(job,
-             to_text(run) + " was failure " + std::to_string(failures) +
-                 " of at most " + std::to_string(job.queue_.attempts_),
+             to_text(run_ref{at, task.run_}) + " was failure " +
+                 std::to_string(failures) + " of at most " +
+                 std::to_string(limit),
              "jobs_failed");
 }
 
@@ -558,14 +694,14 @@
         return;
     job.failure_ = reason;
     finish(job, job_phase::failed);
-    add_notice(job.spec_.id_, "job has failed: " + reason, counter);
+    add_notice(job.spec_.id_.str(), "job has failed: " + reason, counter);
 }
 
-void pool_state::add_notice(const job_id& job, std::string message,
+void pool_state::add_notice(const std::string& subject, std::string message,
                             const char* counter)
 {
     ++notice_count_;
-    notices_.push_back({job, std::move(message), counter});
+    notices_.push_back({subject, std::move(message), counter});
     if (notices_.size() > max_kept_notices)
         notices_.pop_front();
 }
@@ -574,6 +710,8 @@
 {
     if (!job.has_started_)
         count_waiting(job, -1);
+    if (job.queue_ != nullptr)
+        --job.queue_->open_jobs_;
     job.phase_ = phase;
     final_jobs_.add(job.spec_.id_);
 }
@@ -586,7 +724,8 @@
     if (!job.is_final() && job.occurrences_.are_done(job.occurrence_count()))
         finish(job, job_phase::completed);
     if (job.is_final() && !job.occurrences_.have_runs()) {
-        active_.erase(id);
+        if (active_.erase(id) > 0)
+            leave_queue(job);
         shrink(job);
     }
     update_weight(job);
@@ -647,7 +786,7 @@
     std::string message =
         has_room ? "there is room for new jobs again"
                  : "new jobs are refused, as the state would outgrow its limit";
-    add_notice(job,
+    add_notice(job.str(),
                message + ": weight " + std::to_string(weight_) + " bytes, " +
                    std::to_string(active_.size()) + " active jobs, " +
                    std::to_string(final_jobs_.jobs().size()) + " final ones",
@@ -732,12 +871,20 @@
 }
 
 std::uint64_t pool_state::waiting_jobs(const queue_route& route) const
+{
+    auto queue = queues_.find(route.address());
+    auto unbound = waiting_unbound_.find(route.policy_.name_);
+    return (queue == queues_.end() ? 0 : queue->second.waiting_jobs_) +
+           (unbound == waiting_unbound_.end() ? 0 : unbound->second);
+}
+
+std::uint64_t pool_state::waiting_jobs_without_workers() const
 {
     std::uint64_t count = 0;
-    for (const queue_address& address :
-         {route.address(), address_of_name(route.policy_.name_)}) {
-        auto found = waiting_.find(address);
-        count += found == waiting_.end() ? 0 : found->second;
+    for (const auto& item : queues_) {
+        const queue_record& queue = item.second;
+        if (!workers_of_service_.contains(queue.policy_.service_))
+            count += queue.waiting_jobs_;
     }
     return count;
 }
@@ -806,19 +953,25 @@
     runs_.clear();
     job_index_.clear();
     weight_ = 0;
-    waiting_.clear();
+    waiting_unbound_.clear();
     unbound_jobs_ = 0;
+    workers_of_service_.clear();
+    for (const auto& item : workers_)
+        count_worker(item.second.info_, 1);
+    for (const queue_route& route : config_.routes_)
+        queues_.try_emplace(route.address(),
+                            queue_record{route.policy_, config_.version_});
     for (auto& [id, job] : jobs_) {
         job_index_.emplace(id, &job);
         unbound_jobs_ += job.address_.empty() ? 1 : 0;
-        if (!job.is_final() && !job.has_started_)
-            count_waiting(job, 1);
         for (const auto& item : job.occurrences_.records())
             rebuild_runs(job, item.first);
-        if (!job.is_final() || job.occurrences_.have_runs())
+        if (!job.is_final() || job.occurrences_.have_runs()) {
             active_.insert(id);
-        else
+            join_queue(job);
+        } else {
             shrink(job);
+        }
         job.weight_ = 0;
         update_weight(job);
     }
--- a/libs/pool/src/pool_state_losses.cpp
+++ b/libs/pool/src/pool_state_losses.cpp
@@ -142,7 +142,7 @@
              "jobs_given_up");
     } else if (loss.is_suspected_) {
         add_notice(
-            job.spec_.id_,
+            job.spec_.id_.str(),
             name + " is suspected of crashing its workers: " + to_text(record),
             "tasks_suspected");
     }
--- a/libs/pool/src/resource_table.cpp
+++ b/libs/pool/src/resource_table.cpp
@@ -191,7 +191,7 @@
                 if (found.empty() || !spec.is_gang_) {
                     found.emplace_back();
                     found.back().need_ = spec.need_;
-                    found.back().priority_ = job.queue_.priority_;
+                    found.back().priority_ = job.policy().priority_;
                     found.back().is_guaranteed_ =
                         guaranteed_.contains(job.spec_.id_);
                 }
--- a/libs/pool/src/state_weight.cpp
+++ b/libs/pool/src/state_weight.cpp
@@ -72,7 +72,8 @@
 std::uint64_t weight_of(const job_record& job)
 {
     std::uint64_t texts =
-        weight_of_text(job.queue_.name_) + weight_of_text(job.address_.host_) +
+        weight_of_text(job.accepted_policy_.name_) +
+        weight_of_text(job.address_.host_) +
         weight_of_text(job.address_.prefix_) + weight_of_text(job.team_.str()) +
         weight_of_text(job.accepted_by_) + weight_of_text(job.failure_);
     if (job.spec_.steps_.empty())
--- a/libs/pool/test/queue_address_test.cpp
+++ b/libs/pool/test/queue_address_test.cpp
@@ -55,9 +55,10 @@
     void fields(Archive& archive)
     {
         std::vector<occurrence_record> none;
-        archive(job_.spec_, job_.queue_, job_.team_, job_.accepted_ms_,
-                job_.accepted_by_, job_.phase_, job_.has_started_, none,
-                job_.failure_, job_.was_given_up_, job_.occurrences_);
+        archive(job_.spec_, job_.accepted_policy_, job_.team_,
+                job_.accepted_ms_, job_.accepted_by_, job_.phase_,
+                job_.has_started_, none, job_.failure_, job_.was_given_up_,
+                job_.occurrences_);
     }
 };
 
--- a/libs/pool/test/state_weight_test.cpp
+++ b/libs/pool/test/state_weight_test.cpp
@@ -21,9 +21,10 @@
     template <class Archive>
     void fields(Archive& archive)
     {
-        archive(job_.spec_, job_.queue_, job_.team_, job_.accepted_ms_,
-                job_.accepted_by_, job_.phase_, job_.has_started_, occurrences_,
-                job_.failure_, job_.was_given_up_);
+        archive(job_.spec_, job_.accepted_policy_, job_.team_,
+                job_.accepted_ms_, job_.accepted_by_, job_.phase_,
+                job_.has_started_, occurrences_, job_.failure_,
+                job_.was_given_up_);
     }
 };
 
@@ -173,7 +174,7 @@
     CHECK(pool.state_.weight() <= small_limit);
     job_id refused("f" + std::to_string(accepted));
     CHECK(pool.state_.find_job(refused) == nullptr);
-    CHECK(pool.state_.notices().back().job_ == refused);
+    CHECK(pool.state_.notices().back().subject_ == refused.str());
     // The same decision after a restart.
     pool_state copy;
     copy.restore(pool.state_.snapshot());
