--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -247,6 +247,10 @@
     pool_reply handle(const end_unreported_run& command);
     pool_reply handle(const confirm_start& command);
 
+    /// Whether a call to a route may name a job.
+    [[nodiscard]] static bool is_named_by(const job_record& job,
+                                          const queue_access& access,
+                                          const queue_route& route);
     [[nodiscard]] bool may_start(const job_record& job,
                                  const start_run& command) const;
     void end_run(const worker_name& worker, const run_ref& run,
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -48,19 +48,6 @@
     return false;
 }
 
-bool is_in_queue(const job_record& job, const queue_route& route)
-{
-    return job.address_.empty()
-               ? job.accepted_policy_.name_ == route.policy_.name_
-               : job.address_ == route.address();
-}
-
-bool has_path(const job_record& job, const queue_access& access)
-{
-    return job.address_.host_ == access.host_ &&
-           job.address_.prefix_ + job.spec_.id_.str() == access.path_;
-}
-
 pool_reply refusal(access_verdict verdict)
 {
     return verdict == access_verdict::unknown_key ? pool_reply::unknown_key
@@ -151,9 +138,8 @@
     if (access.verdict_ != access_verdict::granted)
         return refusal(access.verdict_);
     auto found = jobs_.find(command.id_);
-    bool is_here =
-        found != jobs_.end() && (is_in_queue(found->second, *access.route_) ||
-                                 has_path(found->second, command.access_));
+    bool is_here = found != jobs_.end() &&
+                   is_named_by(found->second, command.access_, *access.route_);
     if (!is_here)
         return pool_reply::rejected;
     if (found->second.is_final())
@@ -163,161 +149,6 @@
     return pool_reply::applied;
 }
 
-pool_reply pool_state::handle(const put_config& command)
-{
-    if (command.config_.version_ <= config_.version_)
-        return pool_reply::unchanged;
-    // All replicas do this at the same place in the log, also those that have
-    // read the jobs from a snapshot of an earlier build.
-    bool binds_jobs = command.identity_ == queue_identity::address;
-    if (binds_jobs)
-        bind_jobs(config_);
-    std::uint64_t earlier_version = config_.version_;
-    config_ = command.config_;
-    bind_queues(earlier_version);
-    if (binds_jobs)
-        bind_jobs(config_);
-    return pool_reply::applied;
-}
-
-// --- Queues
-
-// Everything that a route says of its queue holds for the queue's jobs from
-// here on, whenever they were accepted. Runs under way go on.
-void pool_state::bind_queues(std::uint64_t earlier_version)
-{
-    std::uint64_t version = config_.version_;
-    for (const queue_route& route : config_.routes_) {
-        auto [found, is_new] = queues_.try_emplace(
-            route.address(), queue_record{route.policy_, version});
-        queue_record& queue = found->second;
-        if (is_new || queue.config_version_ == version)
-            continue;
-        if (queue.config_version_ != earlier_version)
-            add_notice(to_text(found->first),
-                       "queue has a route again with configuration " +
-                           std::to_string(version) + ": " +
-                           std::to_string(queue.open_jobs_) + " open jobs",
-                       nullptr);
-        queue.config_version_ = version;
-        change_policy(found->first, queue, route.policy_);
-    }
-    release_queues(earlier_version);
-}
-
-void pool_state::release_queues(std::uint64_t earlier_version)
-{
-    for (auto it = queues_.begin(); it != queues_.end();) {
-        const auto& [address, queue] = *it;
-        if (!has_route(queue) && queue.active_jobs_ == 0) {
-            it = queues_.erase(it);
-            continue;
-        }
-        if (queue.config_version_ == earlier_version)
-            add_notice(to_text(address),
-                       "queue has no route in configuration " +
-                           std::to_string(config_.version_) + "; its " +
-                           std::to_string(queue.open_jobs_) +
-                           " open jobs stay with service " +
-                           queue.policy_.service_.str(),
-                       nullptr);
-        ++it;
-    }
-}
-
-void pool_state::change_policy(const queue_address& address,
-                               queue_record& queue, const queue_policy& policy)
-{
-    queue_policy before = std::exchange(queue.policy_, policy);
-    if (before.service_ != policy.service_ && queue.open_jobs_ > 0)
-        add_notice(to_text(address),
-                   "queue moves from service " + before.service_.str() +
-                       " to " + policy.service_.str() + " with " +
-                       std::to_string(queue.open_jobs_) + " open jobs, " +
-                       std::to_string(queue.waiting_jobs_) + " of them waiting",
-                   "queues_moved");
-    if (policy.attempts_ < before.attempts_ && queue.open_jobs_ > 0)
-        fail_exhausted_jobs(queue);
-}
-
-void pool_state::fail_exhausted_jobs(const queue_record& queue)
-{
-    std::vector<job_id> jobs;
-    for (const job_id& id : active_) {
-        if (job_at(id).queue_ == &queue)
-            jobs.push_back(id);
-    }
-    for (const job_id& id : jobs) {
-        job_record& job = job_at(id);
-        for (const auto& [number, occurrence] : job.occurrences_.records()) {
-            for (std::uint32_t s = 0; s < occurrence.steps_.size(); ++s) {
-                const auto& tasks = occurrence.steps_[s].tasks_;
-                for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-                    if (tasks[i].worker_.empty())
-                        check_attempts(job, {id, number, s, i});
-                }
-            }
-        }
-        refresh_job(id);
-    }
-}
-
-void pool_state::bind_jobs(const pool_config& config)
-{
-    if (unbound_jobs_ == 0)
-        return;
-    for (auto& [id, job] : jobs_) {
-        if (!job.address_.empty())
-            continue;
-        const queue_route* route =
-            config.find_route_named(job.accepted_policy_.name_);
-        if (route == nullptr)
-            continue;
-        bool is_active = active_.contains(id);
-        if (is_active)
-            leave_queue(job);
-        job.address_ = route->address();
-        job.accepted_policy_ = {};
-        --unbound_jobs_;
-        if (is_active)
-            join_queue(job);
-        update_weight(job);
-    }
-}
-
-void pool_state::join_queue(job_record& job)
-{
-    if (!job.address_.empty()) {
-        job.queue_ = &queues_.at(job.address_);
-        ++job.queue_->active_jobs_;
-        job.queue_->open_jobs_ += job.is_final() ? 0 : 1;
-    }
-    if (!job.is_final() && !job.has_started_)
-        count_waiting(job, 1);
-}
-
-void pool_state::leave_queue(job_record& job)
-{
-    if (!job.is_final() && !job.has_started_)
-        count_waiting(job, -1);
-    queue_record* queue = std::exchange(job.queue_, nullptr);
-    if (queue == nullptr)
-        return;
-    queue->open_jobs_ -= job.is_final() ? 0 : 1;
-    if (--queue->active_jobs_ == 0 && !has_route(*queue))
-        queues_.erase(job.address_);
-}
-
-std::map<queue_address, queue_policy> pool_state::unrouted_policies() const
-{
-    std::map<queue_address, queue_policy> result;
-    for (const auto& [address, queue] : queues_) {
-        if (!has_route(queue))
-            result.emplace(address, queue.policy_);
-    }
-    return result;
-}
-
 // --- Workers
 
 pool_reply pool_state::handle(const put_worker& command)
@@ -558,20 +389,6 @@
     job.has_started_ = true;
 }
 
-void pool_state::count_waiting(const job_record& job, int change)
-{
-    auto difference = static_cast<std::uint64_t>(change);
-    if (job.queue_ != nullptr) {
-        job.queue_->waiting_jobs_ += difference;
-        return;
-    }
-    auto entry =
-        waiting_unbound_.try_emplace(job.accepted_policy_.name_, 0).first;
-    entry->second += difference;
-    if (entry->second == 0)
-        waiting_unbound_.erase(entry);
-}
-
 void pool_state::count_worker(const worker_info& info, int change)
 {
     auto entry = workers_of_service_.try_emplace(info.service_, 0).first;
@@ -810,20 +627,6 @@
     return found == job_index_.end() ? nullptr : found->second;
 }
 
-// A call names a job by its host and its whole path. The route with the longest
-// prefix decides whether the call is allowed; it may be newer than the job, and
-// then another part of the path is the job's prefix.
-const job_record* pool_state::find_job_at(const queue_access& access,
-                                          const queue_route& route) const
-{
-    const std::string& path = access.path_;
-    const job_record* job = find_job(job_id(path.substr(route.prefix_.size())));
-    if (job != nullptr && is_in_queue(*job, route))
-        return job;
-    job = find_job(job_id(path.substr(path.rfind('/') + 1)));
-    return job != nullptr && has_path(*job, access) ? job : nullptr;
-}
-
 job_record& pool_state::job_at(const job_id& id) const
 {
     return *job_index_.at(id);
@@ -870,25 +673,6 @@
     return found == runs_.end() ? 0 : found->second.revision_;
 }
 
-std::uint64_t pool_state::waiting_jobs(const queue_route& route) const
-{
-    auto queue = queues_.find(route.address());
-    auto unbound = waiting_unbound_.find(route.policy_.name_);
-    return (queue == queues_.end() ? 0 : queue->second.waiting_jobs_) +
-           (unbound == waiting_unbound_.end() ? 0 : unbound->second);
-}
-
-std::uint64_t pool_state::waiting_jobs_without_workers() const
-{
-    std::uint64_t count = 0;
-    for (const auto& item : queues_) {
-        const queue_record& queue = item.second;
-        if (!workers_of_service_.contains(queue.policy_.service_))
-            count += queue.waiting_jobs_;
-    }
-    return count;
-}
-
 const step_spec& pool_state::spec_of(const task_ref& task) const
 {
     return job_at(task.job_).spec_.steps_.at(task.step_);
