A team keeps the guarantee for its jobs under another name

Callers would see: after a version gives a team another name, its waiting jobs of priority 0 are outside of any guarantee, and its new jobs get all of it again beside the old ones (RECLAIM).

Cause: a job keeps the name of its team, the operators' label; the guarantee is counted by that name. Clients know their team by its key.

Change: a configuration moves the jobs of a team to the name under which its keys are held, also if versions between had no such team (the state keeps the keys of removed teams with active jobs). A team whose keys were all exchanged keeps its name.

Evidence: "a team keeps the guarantee for its jobs under another name" fails without the change in four of its forms and holds with it. Not played with real processes.

--- a/libs/pool/include/dandelioncrank/pool/pool_config.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_config.hpp
@@ -88,6 +88,9 @@
     }
 };
 
+/// Keys of teams, by name.
+using team_keys = std::map<team_name, std::set<std::string>>;
+
 /// What a client's call presents to get access to a queue.
 struct queue_access
 {
@@ -149,4 +152,9 @@
     }
 };
 
+/// Returns the teams that go on under another name in a configuration, with
+/// that name. A key belongs to one team, and clients know their team by it.
+[[nodiscard]] std::map<team_name, team_name>
+find_renamed_teams(const team_keys& earlier, const pool_config& config);
+
 } // namespace dandelioncrank::pool
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -221,7 +221,7 @@
         // The other queues have the policy of their routes.
         std::map<queue_address, queue_policy> unrouted = unrouted_policies();
         archive(config_, jobs_, workers_, final_jobs, ended_incarnations_);
-        archive.appended(final_jobs_, unrouted);
+        archive.appended(final_jobs_, unrouted, removed_teams_);
         final_jobs_.assign(final_jobs);
         for (const auto& [address, policy] : unrouted)
             queues_.try_emplace(address, queue_record{policy});
@@ -283,6 +283,8 @@
                        const queue_policy& policy);
     /// Binds jobs that go by the name of a route to the queue that it names.
     void bind_jobs(const pool_config& config);
+    /// Follows the teams that have another name in the configuration in force.
+    void rename_teams(const pool_config& before);
     /// Makes an active job count in its queue, or not any more.
     void join_queue(job_record& job);
     void leave_queue(job_record& job);
@@ -328,6 +330,8 @@
     std::uint64_t workers_revision_ = 0;
     /// Completed, failed and cancelled jobs.
     retained_jobs final_jobs_;
+    /// Keys of teams that are not configured and have active jobs.
+    team_keys removed_teams_;
     /// The last ended incarnation of each worker.
     std::map<worker_name, std::int64_t> ended_incarnations_;
 
--- a/libs/pool/src/pool_config.cpp
+++ b/libs/pool/src/pool_config.cpp
@@ -40,6 +40,34 @@
     return std::nullopt;
 }
 
+std::map<team_name, team_name> find_renamed_teams(const team_keys& earlier,
+                                                  const pool_config& config)
+{
+    std::map<std::string, team_name> holders;
+    for (const auto& [name, rule] : config.teams_) {
+        for (const std::string& key : rule.keys_)
+            holders.emplace(key, name);
+    }
+    std::map<team_name, team_name> result;
+    for (const auto& [name, keys] : earlier) {
+        std::map<team_name, std::size_t> shares;
+        for (const std::string& key : keys) {
+            auto holder = holders.find(key);
+            if (holder != holders.end())
+                ++shares[holder->second];
+        }
+        // A team whose keys were all exchanged is still known by its name.
+        if (shares.empty() || shares.contains(name))
+            continue;
+        auto heir = std::max_element(shares.begin(), shares.end(),
+                                     [](const auto& left, const auto& right) {
+                                         return left.second < right.second;
+                                     });
+        result.emplace(name, heir->first);
+    }
+    return result;
+}
+
 access_decision pool_config::authorize(const queue_access& access) const
 {
     access_decision result;
--- a/libs/pool/src/pool_state_config.cpp
+++ b/libs/pool/src/pool_state_config.cpp
@@ -1,6 +1,7 @@
 // What a configuration changes for the jobs that are there.
 #include "dandelioncrank/pool/pool_state.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace dandelioncrank::pool {
@@ -31,11 +32,12 @@
     bool binds_jobs = command.identity_ == queue_identity::address;
     if (binds_jobs)
         bind_jobs(config_);
-    std::uint64_t earlier_version = config_.version_;
-    config_ = command.config_;
-    bind_queues(earlier_version);
-    if (binds_jobs)
+    pool_config before = std::exchange(config_, command.config_);
+    bind_queues(before.version_);
+    if (binds_jobs) {
         bind_jobs(config_);
+        rename_teams(before);
+    }
     return pool_reply::applied;
 }
 
@@ -142,6 +144,40 @@
     }
 }
 
+void pool_state::rename_teams(const pool_config& before)
+{
+    team_keys earlier = std::exchange(removed_teams_, {});
+    for (const auto& [name, rule] : before.teams_)
+        earlier.insert_or_assign(name, rule.keys_);
+    std::map<team_name, team_name> renamed =
+        find_renamed_teams(earlier, config_);
+    bool has_removed =
+        std::any_of(earlier.begin(), earlier.end(), [this](const auto& item) {
+            return !config_.teams_.contains(item.first);
+        });
+    if (renamed.empty() && !has_removed)
+        return;
+    std::map<team_name, std::uint64_t> moved;
+    for (const job_id& id : active_) {
+        job_record& job = job_at(id);
+        auto found = renamed.find(job.team_);
+        if (found != renamed.end()) {
+            ++moved[job.team_];
+            job.team_ = found->second;
+            update_weight(job);
+            continue;
+        }
+        auto known = earlier.find(job.team_);
+        if (known != earlier.end() && !config_.teams_.contains(job.team_))
+            removed_teams_.insert(*known);
+    }
+    for (const auto& [team, jobs] : moved)
+        add_notice(team.str(),
+                   "team goes on as " + renamed.at(team).str() + " with " +
+                       std::to_string(jobs) + " active jobs",
+                   nullptr);
+}
+
 void pool_state::join_queue(job_record& job)
 {
     if (!job.address_.empty()) {
--- a/libs/pool/test/queue_policy_test.cpp
+++ b/libs/pool/test/queue_policy_test.cpp
@@ -342,6 +342,88 @@
     CHECK(pool.state_.waiting_jobs_without_workers() == 1);
 }
 
+// A team that got another name lost the guarantee for the jobs that it had, and
+// its new jobs got all of it again (found beside review/10).
+TEST_CASE("a team keeps the guarantee for its jobs under another name",
+          "[queue_policy]")
+{
+    pool_fixture pool(2);
+    pool.guarantee("t", 8);
+    job_id other =
+        pool.submit("other", {pool_fixture::make_step(2, 8, false)}, 0, "u");
+    pool.plan_and_start();
+    job_id id = pool.submit("a", {pool_fixture::make_step(1, 8, false)}, 0);
+    REQUIRE(pool.state_.find_job(id)->team_ == team_name("t"));
+    auto rename = [](pool_config& config, const std::string& from,
+                     const std::string& to) {
+        auto node = config.teams_.extract(team_name(from));
+        node.key() = team_name(to);
+        config.teams_.insert(std::move(node));
+    };
+    auto preempts = [&] {
+        pool.input_.now_ += 10s;
+        placement_plan plan = pool.plan();
+        return plan.preemptions_.size() == 1 &&
+               plan.preemptions_[0].run_.task_.job_ == other &&
+               plan.preemptions_[0].for_job_ == id;
+    };
+    REQUIRE(preempts());
+    SECTION("in one configuration")
+    {
+        pool.reconfigure(
+            [&](pool_config& config) { rename(config, "t", "new"); });
+        CHECK(preempts());
+        CHECK(pool.state_.find_job(id)->team_ == team_name("new"));
+    }
+    SECTION("removed, and back under another name")
+    {
+        team_rule rule = pool.state_.config().teams_.at(team_name("t"));
+        pool.reconfigure(
+            [](pool_config& config) { config.teams_.erase(team_name("t")); });
+        CHECK(!preempts());
+        if (GENERATE(false, true))
+            pool.state_.restore(pool.state_.snapshot());
+        pool.reconfigure([](pool_config&) {});
+        pool.reconfigure([&](pool_config& config) {
+            config.teams_[team_name("new")] = rule;
+        });
+        CHECK(preempts());
+    }
+    SECTION("two teams exchange names")
+    {
+        pool.reconfigure([&](pool_config& config) {
+            rename(config, "t", "x");
+            rename(config, "u", "t");
+            rename(config, "x", "u");
+        });
+        CHECK(preempts());
+        CHECK(pool.state_.find_job(other)->team_ == team_name("t"));
+    }
+    SECTION("keys that are exchanged change no team")
+    {
+        pool.reconfigure([](pool_config& config) {
+            config.teams_[team_name("t")].keys_ = {"another-key"};
+        });
+        CHECK(preempts());
+        pool.reconfigure([](pool_config& config) {
+            config.teams_[team_name("t")].keys_ = {"third-key"};
+        });
+        CHECK(preempts());
+    }
+    SECTION("one of its keys goes to another team")
+    {
+        pool.reconfigure([](pool_config& config) {
+            config.teams_[team_name("t")].keys_ = {"key-of-t", "more"};
+        });
+        pool.reconfigure([](pool_config& config) {
+            config.teams_[team_name("t")].keys_ = {"more"};
+            config.teams_[team_name("u")].keys_.insert("key-of-t");
+        });
+        CHECK(preempts());
+        CHECK(pool.state_.find_job(id)->team_ == team_name("t"));
+    }
+}
+
 // The counts of the queues, and a restored copy, after any order of changes.
 TEST_CASE("queues keep their jobs under any changes of the configuration",
           "[queue_policy]")
