group_log: the commands of a batch share one handler

Each command carried a copy of the handler; on large pools an owner proposes some hundred observations at a time. No change of what is called.

--- a/libs/control/src/group_log.cpp
+++ b/libs/control/src/group_log.cpp
@@ -29,10 +29,16 @@
 void group_log::enqueue_all(pool::pool_batch commands, term_number term,
                             settled_handler on_settled)
 {
-    auto open = std::make_shared<std::size_t>(commands.size());
-    auto on_one = [open, handler = std::move(on_settled)] {
-        if (--*open == 0)
-            handler();
+    struct open_batch
+    {
+        std::size_t undecided_ = 0;
+        settled_handler on_settled_;
+    };
+    auto batch = std::make_shared<open_batch>(
+        open_batch{commands.size(), std::move(on_settled)});
+    auto on_one = [batch] {
+        if (--batch->undecided_ == 0)
+            batch->on_settled_();
     };
     for (pool::pool_command& command : commands)
         commands_.push_back({std::move(command), nullptr, on_one, term});
--- a/libs/pool/include/dandelioncrank/pool/pool_config.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_config.hpp
@@ -34,7 +34,7 @@
     }
 };
 
-/// Formats a queue for the log: "HOST" and "PREFIX" side by side.
+/// Formats a queue for the log: HOST followed by PREFIX.
 [[nodiscard]] std::string to_text(const queue_address& value);
 
 /// Scheduling policy for the jobs of one queue.
