--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -114,7 +114,7 @@
 /// A decision of the replicated state, for the log of the owner.
 struct pool_notice
 {
-    /// The job or the queue.
+    /// The job, queue or team.
     std::string subject_;
     std::string message_;
     /// Metric that counts notices of this kind.
@@ -279,6 +279,7 @@
     void bind_queues(std::uint64_t earlier_version);
     /// Keeps the queues without a route that have jobs.
     void release_queues(std::uint64_t earlier_version);
+    /// Logs a move to another service, and applies a lower number of attempts.
     void change_policy(const queue_address& address, queue_record& queue,
                        const queue_policy& policy);
     /// Binds jobs that go by the name of a route to the queue that it names.
