--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dandelioncrank/pool/performance_estimates.hpp"
 #include "dandelioncrank/pool/pool_state.hpp"
 
 #include <limits>
@@ -75,6 +76,7 @@
     /// Weight of the state, in bytes, up to which a job may start several
     /// occurrences at a time.
     std::uint64_t weight_limit_ = std::numeric_limits<std::uint64_t>::max();
+    performance_estimates estimates_;
 };
 
 /// A run to be stopped in favour of another job.
