Derive the time allowed without progress from the progress seen

Cause: a run whose percent had not risen for 4.5 s was stopped, whatever its length, so tasks of more than some minutes were restarted for ever. Change: progress_monitor derives the time from the run's own progress, other runs of its step or its expected run time; gangs are judged as one run; a worker is suspected only with evidence. The declared run times are used until learned estimates are passed in.

--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -36,7 +36,7 @@
     duration silence_timeout_ = std::chrono::milliseconds(4000);
     /// How long a worker that failed several jobs gets no new work.
     duration quarantine_ = std::chrono::milliseconds(5000);
-    /// A run without progress for this long is considered stalled.
+    /// Shortest time without progress after which a run counts as stalled.
     duration stall_timeout_ = std::chrono::milliseconds(4500);
 };
 
@@ -68,6 +68,7 @@
 
 class fencing_tokens;
 class loss_monitor;
+class progress_monitor;
 class proposal_tracker;
 
 /// Manages a pool of workers during one term: plans placements, sends start
@@ -174,6 +175,9 @@
     void advance_sessions(const std::set<worker_name>& workers, instant now);
     void plan(instant now, std::int64_t wall_ms);
     [[nodiscard]] planner_input make_input(instant now, std::int64_t wall_ms);
+    [[nodiscard]] std::unique_ptr<progress_monitor>
+    make_progress_monitor() const;
+    /// Stops runs that make no progress.
     void detect_stalls(instant now);
     /// Updates the waiting steps. Logs long waits and changes of their reason,
     /// at a limited rate.
@@ -197,6 +201,9 @@
     std::map<step_key, clearing> clearings_;
     std::map<step_key, wait_entry> waits_;
     std::unique_ptr<loss_monitor> losses_;
+    std::unique_ptr<progress_monitor> progress_;
+    /// When the progress of all runs was last judged.
+    instant judged_at_{};
     std::unique_ptr<fencing_tokens> tokens_;
     std::unique_ptr<proposal_tracker> proposals_;
     /// When tasks whose runs have lapsed repeatedly may start again.
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -2,6 +2,7 @@
 
 #include "fencing_tokens.hpp"
 #include "loss_monitor.hpp"
+#include "progress_monitor.hpp"
 #include "proposal_tracker.hpp"
 #include "worker_session.hpp"
 
@@ -106,7 +107,8 @@
 pool_owner::pool_owner(const pool_state& state, owner_timing timing,
                        std::uint64_t weight_limit)
     : state_(state), timing_(timing), weight_limit_(weight_limit),
-      losses_(make_loss_monitor()), tokens_(std::make_unique<fencing_tokens>()),
+      losses_(make_loss_monitor()), progress_(make_progress_monitor()),
+      tokens_(std::make_unique<fencing_tokens>()),
       proposals_(std::make_unique<proposal_tracker>())
 {
 }
@@ -129,6 +131,8 @@
     workers_revision_.reset();
     swept_at_ = {};
     losses_ = make_loss_monitor();
+    progress_ = make_progress_monitor();
+    judged_at_ = {};
     tokens_->begin(term);
     seen_notices_ = state_.notice_count();
     for (const auto& [name, record] : state_.workers())
@@ -159,6 +163,7 @@
         restart_at_[run.task_] = now + registration_delay;
     for (std::uint64_t call : session.open_calls())
         calls_.erase(call);
+    progress_->forget_worker(session.worker());
     sessions_.erase(session.worker());
 }
 
@@ -491,25 +496,6 @@
     return result;
 }
 
-// A gang stalls as a whole, so the failure is recorded for each of its workers;
-// the faulty one accumulates failures from several jobs.
-void pool_owner::detect_stalls(instant now)
-{
-    std::vector<std::pair<worker_session*, run_ref>> stalled_runs;
-    for (auto& item : sessions_) {
-        for (const run_ref& run : item.second->stalled_runs(now))
-            stalled_runs.emplace_back(item.second.get(), run);
-    }
-    for (auto& [session, run] : stalled_runs) {
-        session->request_stop(run);
-        due_.insert(session->worker());
-        session->record_failure(run.task_.job_, now);
-        output_.events_.push_back(
-            {run.task_.job_.str(),
-             "run " + to_text(run) + " is stalled; stopping it"});
-    }
-}
-
 planner_input pool_owner::make_input(instant now, std::int64_t wall_ms)
 {
     planner_input input;
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -51,7 +51,6 @@
         entry.phase_ = is_inherited ? run_phase::inherited : run_phase::unsent;
         entry.may_arrive_late_ = is_inherited;
         entry.started_at_ = now;
-        entry.progress_at_ = now;
         runs_.emplace(run, entry);
     }
 }
@@ -176,20 +175,27 @@
                             entry.confirmed_at_};
 }
 
-std::vector<run_ref> pool_owner::worker_session::stalled_runs(instant now) const
+void pool_owner::worker_session::add_progress(
+    std::vector<progress_report>& reports, instant now) const
 {
-    std::vector<run_ref> result;
+    // Progress is unknown while the worker is not reporting.
+    bool is_reporting = lost_calls_ == 0 && !is_replaced_;
+    const worker_info& worker = info();
     for (const auto& [run, entry] : runs_) {
-        bool long_running = state_.spec_of(run.task_).is_long_running_;
-        // Progress is unknown while the worker is not reporting.
-        bool known = entry.phase_ == run_phase::confirmed && lost_calls_ == 0 &&
-                     !entry.stop_requested_ &&
-                     now - entry.reported_at_ < max_hold_gap;
-        if (known && !long_running &&
-            entry.reported_at_ - entry.progress_at_ > timing_.stall_timeout_)
-            result.push_back(run);
+        bool is_current = entry.phase_ == run_phase::confirmed &&
+                          is_reporting &&
+                          now - entry.reported_at_ < max_hold_gap;
+        const job_record* job = state_.find_job(run.task_.job_);
+        // The state may have ended it since the last tick.
+        if (job == nullptr || run.task_.step_ >= job->spec_.steps_.size())
+            continue;
+        reports.push_back(
+            {&run, job, &job->spec_.steps_[run.task_.step_], &worker,
+             entry.progress_percent_, entry.reported_at_,
+             !entry.checkpoint_.empty(),
+             entry.stop_requested_ || entry.blocked_at_.has_value(),
+             is_current});
     }
-    return result;
 }
 
 std::vector<std::uint64_t> pool_owner::worker_session::open_calls() const
@@ -246,7 +252,6 @@
         if (!is_new)
             continue;
         found->second.started_at_ = now;
-        found->second.progress_at_ = now;
     }
 }
 
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -3,6 +3,7 @@
 #include "dandelioncrank/pool/pool_owner.hpp"
 #include "fencing_tokens.hpp"
 #include "loss_monitor.hpp"
+#include "progress_monitor.hpp"
 #include "proposal_tracker.hpp"
 
 #include <deque>
@@ -16,9 +17,6 @@
 /// Minimum interval between two proposals of the same kind. That it has passed
 /// does not tell that the first one is not committed.
 constexpr duration proposal_interval = std::chrono::milliseconds(400);
-/// Hold calls to a busy worker follow each other within the maximum hold wait;
-/// a longer gap than this means that some were lost.
-constexpr duration max_hold_gap = std::chrono::seconds(3);
 
 /// Manages the calls to, and the runs of, one incarnation of one worker.
 class pool_owner::worker_session
@@ -59,8 +57,8 @@
     [[nodiscard]] bool is_usable(instant now) const;
     [[nodiscard]] int failure_count() const;
     void add_run_observations(planner_input& input) const;
-    /// Returns the runs without progress for longer than the stall timeout.
-    [[nodiscard]] std::vector<run_ref> stalled_runs(instant now) const;
+    /// Adds what the listings show of the runs that may exist.
+    void add_progress(std::vector<progress_report>& reports, instant now) const;
     /// Returns the runs under way that the state does not hold. Their tasks do
     /// not start until these have ended.
     [[nodiscard]] std::set<run_ref> stray_runs(instant now) const
@@ -144,9 +142,8 @@
         int progress_percent_ = 0;
         /// Last reported checkpoint; it outlives the worker.
         std::string checkpoint_;
-        /// When it was last reported, and when its progress last increased.
+        /// When it was last reported.
         instant reported_at_{};
-        instant progress_at_{};
     };
 
     struct open_call
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -194,7 +194,6 @@
     switch (answer.verdict_) {
     case call_verdict::done:
         entry.phase_ = run_phase::confirmed;
-        entry.progress_at_ = now;
         if (!entry.confirmed_at_)
             entry.confirmed_at_ = now;
         note_confirmed(call.run_);
@@ -356,11 +355,6 @@
         if (found == runs_.end())
             continue;
         run_entry& entry = found->second;
-        // After a gap in the hold calls nothing is known of the time between.
-        bool was_watched = entry.phase_ == run_phase::confirmed &&
-                           now - entry.reported_at_ < max_hold_gap;
-        if (!was_watched || row.progress_percent_ > entry.progress_percent_)
-            entry.progress_at_ = now;
         entry.reported_at_ = now;
         entry.was_listed_ = true;
         entry.phase_ = run_phase::confirmed;
