Estimate the speed of workers and the run times of queues

All workers counted as alike and tasks as long as declared, so urgent work and gangs landed on slow workers by chance. The owner now learns both from the ends and percents in listings, and the planner orders workers by a coarse speed class before packing them.

Tests of [placement_planner] and [pool_owner] pass.

--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -97,6 +97,9 @@
     std::map<step_key, clearing> clearings_;
     /// Steps that start away from their data or spread over several racks.
     std::set<step_key> spread_steps_;
+    /// Steps whose workers were chosen for their speed, with a description of
+    /// these.
+    std::map<step_key, std::string> speed_choices_;
     /// Steps with tasks that stay waiting, with the reason.
     std::map<step_key, wait_reason> waits_;
 };
@@ -115,6 +118,9 @@
 /// Work that is suspected of crashing its workers starts where least would be
 /// lost, never beside other suspects, and only on a share of a busy pool. Other
 /// work keeps away from its workers until its probation is over.
+///
+/// Where workers differ in speed, jobs of priority 0 take the fastest ones and
+/// other jobs the slow ones first; gangs prefer workers of one speed class.
 [[nodiscard]] placement_plan make_plan(const pool_state& state,
                                        const planner_input& input);
 
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -4,6 +4,7 @@
 #include "dandelioncrank/pool/pool_state.hpp"
 #include "dandelioncrank/pool/state_weight.hpp"
 #include "dandelioncrank/pool/worker_calls.hpp"
+#include "dandelioncrank/pool/worker_speed_summary.hpp"
 
 #include <functional>
 #include <map>
@@ -68,6 +69,7 @@
 
 class fencing_tokens;
 class loss_monitor;
+class performance_model;
 class proposal_tracker;
 
 /// Manages a pool of workers during one term: plans placements, sends start
@@ -127,6 +129,10 @@
     void tick(instant now, std::int64_t wall_ms);
 
     [[nodiscard]] owner_output take_output();
+    /// The workers that are known to be slower or faster than most, with at
+    /// most `limit` in each list.
+    [[nodiscard]] worker_speed_summary
+    summarize_worker_speeds(std::size_t limit) const;
 
     /// Runs each plan, if set; lets the caller measure its cost.
     std::function<void(const std::function<void()>& plan)> around_plan_;
@@ -159,6 +165,7 @@
     void close_session(const worker_session& session, instant now);
     /// Keeps what a worker has confirmed, once for each job.
     void note_confirmed_starts(worker_session& session);
+    void note_sightings(worker_session& session);
     /// Proposes the starts confirmed since the last interval, together.
     void propose_confirmed_starts(instant now);
     /// Judges once why an incarnation was lost that has been replaced.
@@ -197,6 +204,7 @@
     std::map<step_key, clearing> clearings_;
     std::map<step_key, wait_entry> waits_;
     std::unique_ptr<loss_monitor> losses_;
+    std::unique_ptr<performance_model> performance_;
     std::unique_ptr<fencing_tokens> tokens_;
     std::unique_ptr<proposal_tracker> proposals_;
     /// When tasks whose runs have lapsed repeatedly may start again.
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -59,8 +59,10 @@
     void place_unit(const pending_unit& unit)
     {
         if (unit.spec().is_gang_) {
-            if (auto where = place_together(unit))
+            if (auto where = place_together(unit)) {
+                note_speed(unit, where->workers_);
                 plan_.starts_.push_back(make_start(unit, *where));
+            }
             return;
         }
         place_one_by_one(unit);
@@ -70,6 +72,7 @@
     {
         pending_unit single = unit;
         start_run command = make_start(unit, {});
+        std::vector<worker_index> workers;
         for (std::uint32_t index : unit.tasks_) {
             single.tasks_ = {index};
             auto where = place_together(single);
@@ -78,9 +81,27 @@
                 break;
             start_run start = make_start(single, *where);
             command.assignments_.push_back(start.assignments_.front());
+            workers.push_back(where->workers_.front());
         }
-        if (!command.assignments_.empty())
-            plan_.starts_.push_back(std::move(command));
+        if (command.assignments_.empty())
+            return;
+        note_speed(unit, workers);
+        plan_.starts_.push_back(std::move(command));
+    }
+
+    /// Notes the workers of a unit if all are of the class that it prefers.
+    void note_speed(const pending_unit& unit,
+                    const std::vector<worker_index>& workers)
+    {
+        if (!table_.has_speed_classes())
+            return;
+        speed_class preferred =
+            table_.preferred_class(unit.job_->policy().priority_);
+        if (std::all_of(workers.begin(), workers.end(),
+                        [&](worker_index where) {
+                            return table_.workers()[where].speed_ == preferred;
+                        }))
+            plan_.speed_choices_[unit.key()] = to_text(preferred) + " workers";
     }
 
     /// Allocates resources for all tasks of a unit. If there are none, notes
--- a/libs/pool/src/placement_search.cpp
+++ b/libs/pool/src/placement_search.cpp
@@ -1,6 +1,7 @@
 #include "placement_search.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace dandelioncrank::pool {
@@ -22,6 +23,16 @@
     return static_cast<std::size_t>(fits);
 }
 
+/// Speed classes on which a gang runs rather than on a mixture. Very slow
+/// workers would hold it longer than any mixture without them.
+std::vector<speed_class> gang_classes(const pending_unit& unit)
+{
+    const auto& order = preferred_classes(unit.job_->policy().priority_);
+    std::vector<speed_class> result(order.begin(), order.end());
+    std::erase(result, speed_class::very_slow);
+    return result;
+}
+
 } // namespace
 
 // --- Eligibility
@@ -143,16 +154,14 @@
     if (is_hopeless)
         return std::nullopt;
     placement result;
-    while (result.workers_.size() < unit.tasks_.size()) {
-        auto where = unit.is_suspect() ? find_least_risk(unit, *service)
-                                       : find_best_fit(unit, *service);
-        if (!where)
-            break;
-        table_.allocate(*where, unit);
-        result.workers_.push_back(*where);
+    if (prefers_one_class(unit)) {
+        for (speed_class speed : gang_classes(unit)) {
+            result = find_for_all(unit, *service, speed);
+            if (result.workers_.size() == unit.tasks_.size())
+                return result;
+        }
     }
-    for (worker_index where : result.workers_)
-        table_.deallocate(where, unit);
+    result = find_for_all(unit, *service, std::nullopt);
     if (result.workers_.size() == unit.tasks_.size())
         return result;
     bool is_unconstrained = spec.per_worker_limit_ == 0 &&
@@ -163,25 +172,70 @@
     return std::nullopt;
 }
 
-// The order of the workers makes the first one with enough resources the best:
-// the fewest failures, then the fullest, so that whole workers stay free.
+bool placement_search::prefers_one_class(const pending_unit& unit) const
+{
+    return table_.has_speed_classes() && unit.spec().is_gang_ &&
+           unit.tasks_.size() > 1 && !unit.is_suspect();
+}
+
+placement placement_search::find_for_all(const pending_unit& unit,
+                                         service_index service,
+                                         std::optional<speed_class> speed)
+{
+    placement result;
+    while (result.workers_.size() < unit.tasks_.size()) {
+        auto where = unit.is_suspect() ? find_least_risk(unit, service)
+                                       : find_best_fit(unit, service, speed);
+        if (!where)
+            break;
+        table_.allocate(*where, unit);
+        result.workers_.push_back(*where);
+    }
+    for (worker_index where : result.workers_)
+        table_.deallocate(where, unit);
+    return result;
+}
+
+// The fewest failures come first, then the preferred speed.
 std::optional<worker_index>
-placement_search::find_best_fit(const pending_unit& unit,
-                                service_index service) const
+placement_search::find_best_fit(const pending_unit& unit, service_index service,
+                                std::optional<speed_class> speed) const
 {
-    const step_spec& spec = unit.spec();
-    const resources& need = spec.need_;
     const std::set<free_key>& order = table_.free_workers(service);
-    auto it = order.begin();
-    while (it != order.end()) {
-        if (it->accelerators_ < need.accelerators_) {
-            it = order.lower_bound(
-                {it->failures_, need.accelerators_, need.cpu_, 0});
-            continue;
+    auto group = order.begin();
+    while (group != order.end()) {
+        int failures = group->failures_;
+        for (speed_class item :
+             preferred_classes(unit.job_->policy().priority_)) {
+            if (speed && *speed != item)
+                continue;
+            if (auto where = find_among_alike(unit, service, failures, item))
+                return where;
         }
+        group =
+            order.lower_bound({failures + 1, speed_class::very_slow,
+                               std::numeric_limits<std::int64_t>::min(),
+                               std::numeric_limits<std::int64_t>::min(), 0});
+    }
+    return std::nullopt;
+}
+
+// The order of the workers makes the first one with enough resources the best:
+// the fullest, so that whole workers stay free.
+std::optional<worker_index>
+placement_search::find_among_alike(const pending_unit& unit,
+                                   service_index service, int failures,
+                                   speed_class speed) const
+{
+    const resources& need = unit.spec().need_;
+    const std::set<free_key>& order = table_.free_workers(service);
+    auto it =
+        order.lower_bound({failures, speed, need.accelerators_, need.cpu_, 0});
+    while (it != order.end() && it->failures_ == failures &&
+           it->speed_ == speed) {
         if (it->cpu_ < need.cpu_) {
             it = order.lower_bound(
-                {it->failures_, it->accelerators_, need.cpu_, 0});
+                {failures, speed, it->accelerators_, need.cpu_, 0});
             continue;
         }
         if (has_room(unit, it->worker_))
@@ -331,9 +385,10 @@
 {
     auto sort_key = [&](const candidate& item) {
         const worker_resources& worker = table_.workers()[item.index_];
-        return std::tuple(item.fit_->cost_, risk_of(unit, worker),
-                          worker.failures_, item.fit_->remaining_.accelerators_,
-                          item.fit_->remaining_.cpu_);
+        return std::tuple(
+            item.fit_->cost_, risk_of(unit, worker), worker.failures_,
+            preference_of(unit.job_->policy().priority_, worker.speed_),
+            item.fit_->remaining_.accelerators_, item.fit_->remaining_.cpu_);
     };
     return sort_key(left) < sort_key(right);
 }
@@ -391,6 +446,26 @@
 {
     std::vector<candidate> candidates =
         make_candidates(unit, among, allow_preemption);
+    // With preemption, the work that is lost decides.
+    if (prefers_one_class(unit) && !allow_preemption) {
+        for (speed_class speed : gang_classes(unit)) {
+            std::vector<candidate> alike;
+            for (const candidate& item : candidates) {
+                if (table_.workers()[item.index_].speed_ == speed)
+                    alike.push_back(item);
+            }
+            if (auto here = select_from(unit, std::move(alike), false))
+                return here;
+        }
+    }
+    return select_from(unit, std::move(candidates), allow_preemption);
+}
+
+std::optional<placement>
+placement_search::select_from(const pending_unit& unit,
+                              std::vector<candidate> candidates,
+                              bool allow_preemption)
+{
     is_selected_.resize(table_.victim_count());
     placement result;
     while (result.workers_.size() < unit.tasks_.size()) {
--- a/libs/pool/src/placement_search.hpp
+++ b/libs/pool/src/placement_search.hpp
@@ -67,13 +67,29 @@
     data_rack_of(const pending_unit& unit) const;
     [[nodiscard]] std::optional<placement>
     find_free_anywhere(const pending_unit& unit);
+    /// Finds workers among those of a speed class, or of any without one, for
+    /// as many tasks as possible.
+    [[nodiscard]] placement find_for_all(const pending_unit& unit,
+                                         service_index service,
+                                         std::optional<speed_class> speed);
     [[nodiscard]] std::optional<worker_index>
-    find_best_fit(const pending_unit& unit, service_index service) const;
+    find_best_fit(const pending_unit& unit, service_index service,
+                  std::optional<speed_class> speed) const;
+    /// Finds the best fit among workers that are alike in failures and speed.
+    [[nodiscard]] std::optional<worker_index>
+    find_among_alike(const pending_unit& unit, service_index service,
+                     int failures, speed_class speed) const;
+    /// Whether the tasks of a unit advance together, on workers that differ in
+    /// speed.
+    [[nodiscard]] bool prefers_one_class(const pending_unit& unit) const;
     [[nodiscard]] std::optional<placement>
     find_rack_with_preemption(const pending_unit& unit);
     [[nodiscard]] std::optional<placement>
     find_on(const pending_unit& unit, const std::vector<worker_index>& among,
             bool allow_preemption);
+    [[nodiscard]] std::optional<placement>
+    select_from(const pending_unit& unit, std::vector<candidate> candidates,
+                bool allow_preemption);
     [[nodiscard]] std::vector<candidate>
     make_candidates(const pending_unit& unit,
                     const std::vector<worker_index>& among,
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -2,6 +2,7 @@
 
 #include "fencing_tokens.hpp"
 #include "loss_monitor.hpp"
+#include "performance_model.hpp"
 #include "proposal_tracker.hpp"
 #include "worker_session.hpp"
 
@@ -106,7 +107,9 @@
 pool_owner::pool_owner(const pool_state& state, owner_timing timing,
                        std::uint64_t weight_limit)
     : state_(state), timing_(timing), weight_limit_(weight_limit),
-      losses_(make_loss_monitor()), tokens_(std::make_unique<fencing_tokens>()),
+      losses_(make_loss_monitor()),
+      performance_(std::make_unique<performance_model>(state)),
+      tokens_(std::make_unique<fencing_tokens>()),
       proposals_(std::make_unique<proposal_tracker>())
 {
 }
@@ -129,6 +132,7 @@
     workers_revision_.reset();
     swept_at_ = {};
     losses_ = make_loss_monitor();
+    performance_ = std::make_unique<performance_model>(state_);
     tokens_->begin(term);
     seen_notices_ = state_.notice_count();
     for (const auto& [name, record] : state_.workers())
@@ -147,6 +151,7 @@
     sessions_[worker] = std::make_unique<worker_session>(
         state_, timing_, *tokens_, *proposals_, worker, incarnation, now,
         is_inherited, clock_wait);
+    performance_->add_worker(worker, state_.worker_at(worker).info_.rack_, now);
     due_.insert(worker);
 }
 
@@ -159,6 +164,7 @@
         restart_at_[run.task_] = now + registration_delay;
     for (std::uint64_t call : session.open_calls())
         calls_.erase(call);
+    performance_->remove_worker(session.worker());
     sessions_.erase(session.worker());
 }
 
@@ -266,6 +272,18 @@
             confirmed_start{run, session.worker(), std::nullopt});
 }
 
+void pool_owner::note_sightings(worker_session& session)
+{
+    for (const run_sighting& item : session.take_sightings())
+        performance_->observe(session.worker(), item);
+}
+
+worker_speed_summary
+pool_owner::summarize_worker_speeds(std::size_t limit) const
+{
+    return performance_->summarize(limit);
+}
+
 // Each entry of the log costs the owner and its followers a message and a sync,
 // so the starts of an interval share one.
 void pool_owner::propose_confirmed_starts(instant now)
@@ -352,6 +370,7 @@
         return;
     session->second->handle_result(call, result, now, output_);
     note_confirmed_starts(*session->second);
+    note_sightings(*session->second);
     judge_loss(*session->second, now);
     due_.insert(session->first);
     is_dirty_ = true;
@@ -560,6 +579,8 @@
     }
     for (const auto& [step, entry] : waits_)
         input.waiting_since_[step] = entry.since_;
+    performance_->refresh(now);
+    input.estimates_ = performance_->estimates();
     return input;
 }
 
@@ -616,6 +637,7 @@
     for (start_run& command : result.starts_) {
         step_key step{command.job_, command.occurrence_, command.step_};
         bool is_spread = result.spread_steps_.contains(step);
+        auto speed = result.speed_choices_.find(step);
         output_.events_.push_back(
             {command.job_.str(),
              "run " + std::to_string(command.run_) + " of step " +
@@ -623,7 +645,10 @@
                  std::to_string(command.assignments_.size()) +
                  format_workers(command) +
                  (is_spread ? ", over several racks or away from its data"
-                            : "")});
+                            : "") +
+                 (speed == result.speed_choices_.end()
+                      ? ""
+                      : ", chosen for their speed: " + speed->second)});
         output_.starts_.push_back(std::move(command));
     }
     starts_pending_ = !output_.starts_.empty();
--- a/libs/pool/src/resource_table.cpp
+++ b/libs/pool/src/resource_table.cpp
@@ -49,6 +49,8 @@
     worker_resources item;
     item.info_ = &info;
     item.failures_ = failures;
+    item.speed_ = classify_speed(input_.estimates_.speed_of(info.name_));
+    speed_classes_.insert(item.speed_);
     item.free_ = info.capacity_;
     item.service_ =
         services_.try_emplace(info.service_, services_.size()).first->second;
@@ -78,6 +80,15 @@
     free_workers_[workers_.back().service_].insert(key_of(index));
 }
 
+speed_class resource_table::preferred_class(int priority) const
+{
+    for (speed_class item : preferred_classes(priority)) {
+        if (speed_classes_.contains(item))
+            return item;
+    }
+    return speed_class::normal;
+}
+
 bool resource_table::is_on_probation(const run_ref& run) const
 {
     const loss_record* suspicion = state_.suspicion_of(run.task_);
@@ -107,7 +118,8 @@
 free_key resource_table::key_of(worker_index where) const
 {
     const worker_resources& item = workers_[where];
-    return {item.failures_, item.free_.accelerators_, item.free_.cpu_, where};
+    return {item.failures_, item.speed_, item.free_.accelerators_,
+            item.free_.cpu_, where};
 }
 
 void resource_table::change_free(worker_index where, const resources& taken,
--- a/libs/pool/src/resource_table.hpp
+++ b/libs/pool/src/resource_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pending_unit.hpp"
+#include "speed_class.hpp"
 
 #include <cstddef>
 #include <map>
@@ -45,6 +46,7 @@
     rack_index rack_ = 0;
     /// Number of jobs that failed there recently.
     int failures_ = 0;
+    speed_class speed_ = speed_class::normal;
     /// Something that runs there may crash it.
     bool hosts_suspect_ = false;
     /// Core equivalents in use, which a crash would lose.
@@ -66,10 +68,12 @@
 };
 
 /// Orders the workers of a service so that the first one with enough
-/// resources is the best fit: fewest failures, then least left over.
+/// resources is the best fit within its speed class: fewest failures, then
+/// least left over.
 struct free_key
 {
     int failures_ = 0;
+    speed_class speed_ = speed_class::normal;
     std::int64_t accelerators_ = 0;
     std::int64_t cpu_ = 0;
     worker_index worker_ = 0;
@@ -117,6 +121,13 @@
     {
         return all_workers_;
     }
+    /// Whether usable workers differ in their speed class.
+    [[nodiscard]] bool has_speed_classes() const
+    {
+        return speed_classes_.size() > 1;
+    }
+    /// The class of any usable worker that work of a priority takes first.
+    [[nodiscard]] speed_class preferred_class(int priority) const;
     [[nodiscard]] std::int64_t free_accelerators() const
     {
         return free_accelerators_;
@@ -173,6 +184,7 @@
     std::int64_t free_accelerators_ = 0;
     std::int64_t total_accelerators_ = 0;
     std::size_t suspect_workers_ = 0;
+    std::set<speed_class> speed_classes_;
 };
 
 } // namespace dandelioncrank::pool
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -3,6 +3,7 @@
 #include "dandelioncrank/pool/pool_owner.hpp"
 #include "fencing_tokens.hpp"
 #include "loss_monitor.hpp"
+#include "performance_model.hpp"
 #include "proposal_tracker.hpp"
 
 #include <deque>
@@ -73,6 +74,11 @@
     {
         return std::exchange(confirmed_starts_, {});
     }
+    /// Returns, once each, what listings have told of runs.
+    [[nodiscard]] std::vector<run_sighting> take_sightings()
+    {
+        return std::exchange(sightings_, {});
+    }
     [[nodiscard]] std::vector<std::uint64_t> open_calls() const;
     /// Whether an open call may change what an incarnation runs or reports,
     /// also one that it was not sent to.
@@ -213,6 +219,8 @@
     void report_withheld(const run_ref& run, run_entry& entry, instant now,
                          owner_output& out);
     void note_confirmed(const run_ref& run);
+    /// Notes the run time of a run that was in sight from its start on.
+    void note_end(const run_ref& run, instant now);
     /// How long a run has certainly been under way.
     [[nodiscard]] duration age_of(const run_entry& entry) const;
     /// Whether starts cannot exceed a capacity that has changed meanwhile.
@@ -282,6 +290,7 @@
     /// When such a run was listed last.
     instant unknown_listed_at_{};
     std::vector<run_ref> confirmed_starts_;
+    std::vector<run_sighting> sightings_;
     std::uint64_t runs_revision_ = 0;
     std::map<std::uint64_t, open_call> calls_;
     std::optional<std::uint64_t> hold_call_id_;
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -235,6 +235,19 @@
         confirmed_starts_.push_back(run);
 }
 
+// After a lost call, the start or the end may have been long before its
+// answer.
+void pool_owner::worker_session::note_end(const run_ref& run, instant now)
+{
+    auto found = runs_.find(run);
+    if (found == runs_.end())
+        return;
+    const run_entry& entry = found->second;
+    if (entry.confirmed_at_ && !entry.may_arrive_late_ &&
+        contact_lost_at_ <= *entry.confirmed_at_)
+        sightings_.push_back({run, now, 100, now - *entry.confirmed_at_});
+}
+
 void pool_owner::worker_session::handle_stop_result(const stop_call& call,
                                                     const call_answer& answer,
                                                     instant now)
@@ -297,6 +310,9 @@
         if (item.sequence_ <= cursor)
             continue;
         batch.outcomes_.push_back(item);
+        if (item.outcome_ == run_outcome::done &&
+            item.sequence_ > proposed_cursor_)
+            note_end(item.run_, now);
         proposed_cursor_ = std::max(proposed_cursor_, item.sequence_);
         if (item.outcome_ == run_outcome::done)
             clear_failures();
@@ -367,6 +383,7 @@
         if (!entry.confirmed_at_)
             entry.confirmed_at_ = now;
         entry.progress_percent_ = row.progress_percent_;
+        sightings_.push_back({row.run_, now, row.progress_percent_});
         if (!row.checkpoint_.empty())
             entry.checkpoint_ = row.checkpoint_;
     }
