--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -10,6 +10,7 @@
 #include "loss_description.hpp"
 #include "membership_manager.hpp"
 #include "peer_registry.hpp"
+#include "speed_description.hpp"
 #include "worker_service.hpp"
 
 #include <QAbstractEventDispatcher>
@@ -547,6 +548,10 @@
     metrics_.set_gauge(
         "waiting_jobs_without_workers",
         static_cast<double>(state().waiting_jobs_without_workers()));
+    pool::worker_speed_summary speeds = owner_->summarize_worker_speeds(0);
+    metrics_.set_gauge("workers_slow",
+                       static_cast<double>(speeds.slow_workers_));
+    metrics_.set_gauge("worker_speed_spread", speeds.spread_);
 }
 
 void control_host::implementation::tick()
@@ -603,6 +608,8 @@
         static_cast<qint64>(settings_.weight_limit_);
     object["given_up_jobs"] = describe_given_up(state());
     object["suspected_tasks"] = describe_suspects(state());
+    object["worker_speeds"] = describe_worker_speeds(
+        owner_->summarize_worker_speeds(max_listed_speeds));
     QJsonArray voters;
     for (const voter_name& identity : status.members_.voters_)
         voters.append(QString::fromStdString(identity.str()));
--- a/libs/pool/src/performance_model.cpp
+++ b/libs/pool/src/performance_model.cpp
@@ -15,12 +15,15 @@
 constexpr duration refresh_interval = 500ms;
 // How long a sample counts, plus a multiple of the run time of like tasks: a
 // worker that gets no work is tried again as a typical one.
-constexpr duration sample_lifetime = std::chrono::minutes(2);
-constexpr int sample_lifetime_runs = 8;
-// Number of other workers from which each run is a sample of its own. Where it
-// is compared with fewer, or with its queue, a step counts as one sample: it
-// may differ from its reference as a whole.
-constexpr std::size_t min_workers_for_own_samples = 4;
+constexpr duration sample_lifetime = std::chrono::minutes(1);
+constexpr int sample_lifetime_runs = 4;
+// Number of other workers from which each run is a sample of its own. If it is
+// compared with fewer, most of these may be unusual: work that can wait is
+// placed on slow workers together. So a step counts as some samples only, which
+// do not suffice for a judgement. Compared with its queue, a step
+// counts as one sample: it may differ from the queue as a whole.
+constexpr std::size_t min_workers_for_own_samples = 12;
+constexpr std::uint32_t shared_samples_per_step = 4;
 // Percents are rounded, so a pace is measured over this many.
 constexpr int pace_percents = 20;
 // A run that cannot have had more than this share of its usual pace counts as
@@ -59,15 +62,23 @@
     return run_hash()(step);
 }
 
+std::uint64_t shared_key_hash(const run_ref& run)
+{
+    run_ref shared = run;
+    shared.task_.index_ = run.task_.index_ % shared_samples_per_step;
+    shared.run_ = 0;
+    return run_hash()(shared);
+}
+
 step_key step_of(const run_ref& run)
 {
     return {run.task_.job_, run.task_.occurrence_, run.task_.step_};
 }
 
-speed_sample make_sample(std::uint64_t key, double log_speed,
+speed_sample make_sample(std::uint64_t key, std::uint64_t run, double log_speed,
                          duration typical_time, instant now)
 {
-    return {key, log_speed, now,
+    return {key, run, log_speed, now,
             now + sample_lifetime + typical_time * sample_lifetime_runs};
 }
 
@@ -107,38 +118,47 @@
     duration run_time = *sighting.run_time_;
     duration typical = scale(run_time, speeds_.speed_of(worker));
     auto mark = marks_.find(run);
-    bool is_new = mark == marks_.end() || !mark->second.is_counted_;
-    if (mark != marks_.end())
+    std::uint64_t counted_key = 0;
+    if (mark != marks_.end()) {
+        counted_key = mark->second.counted_key_;
         marks_.erase(mark);
+    }
     sibling_run_times& siblings = siblings_of(step_of(run), sighting.at_);
-    siblings.add(
-        {run_hash()(run), worker, sighting.at_, run_time, to_log(typical)});
-    bool has_siblings = false;
+    siblings.add({run_hash()(run), shared_key_hash(run), counted_key, worker,
+                  sighting.at_, run_time, to_log(typical)});
+    bool has_siblings = siblings.reference_for(worker).has_value();
+    compare_siblings(siblings);
+    queue_address queue = queue_of(job);
+    auto usual = run_times_.reliable_estimate(queue, spec);
+    if (!has_siblings && usual) {
+        std::uint64_t key = step_key_hash(run);
+        speeds_.record(worker,
+                       make_sample(key, run_hash()(run),
+                                   to_log(*usual) - to_log(run_time), *usual,
+                                   sighting.at_),
+                       key != counted_key);
+    }
+    run_times_.record(queue, spec, typical);
+}
+
+void performance_model::compare_siblings(sibling_run_times& siblings)
+{
     for (sibling_run_times::entry& item : siblings.entries()) {
         if (item.is_settled_)
             continue;
         auto others = siblings.reference_for(item.worker_);
         if (!others)
             continue;
-        bool is_own = item.run_ == run_hash()(run);
-        has_siblings = has_siblings || is_own;
         item.is_settled_ = others->workers_ >= min_workers_for_own_samples;
+        std::uint64_t key = item.is_settled_ ? item.run_ : item.shared_key_;
         speeds_.record(
             item.worker_,
-            make_sample(item.is_settled_ ? item.run_ : step_key_hash(run),
+            make_sample(key, item.run_,
                         others->log_typical_ - to_log(item.run_time_),
                         from_log(others->log_typical_), item.ended_at_),
-            !is_own || is_new);
+            key != item.counted_key_);
+        item.counted_key_ = key;
     }
-    queue_address queue = queue_of(job);
-    auto usual = run_times_.reliable_estimate(queue, spec);
-    if (!has_siblings && usual)
-        speeds_.record(worker,
-                       make_sample(step_key_hash(run),
-                                   to_log(*usual) - to_log(run_time), *usual,
-                                   sighting.at_),
-                       is_new);
-    run_times_.record(queue, spec, typical);
 }
 
 // The first member to end stands for the gang: the state still shows where all
@@ -198,10 +218,10 @@
     if (!is_measured && speed > slow_pace_limit)
         return;
     speeds_.record(worker,
-                   make_sample(usual->sample_key_, std::log(speed),
-                               usual->run_time_, sighting.at_),
-                   !mark.is_counted_);
-    mark.is_counted_ = true;
+                   make_sample(usual->sample_key_, run_hash()(sighting.run_),
+                               std::log(speed), usual->run_time_, sighting.at_),
+                   usual->sample_key_ != mark.counted_key_);
+    mark.counted_key_ = usual->sample_key_;
     if (is_measured) {
         mark.at_ = sighting.at_;
         mark.progress_percent_ = sighting.progress_percent_;
@@ -219,7 +239,7 @@
             return reference{from_log(others->log_typical_),
                              others->workers_ >= min_workers_for_own_samples
                                  ? run_hash()(run)
-                                 : step_key_hash(run)};
+                                 : shared_key_hash(run)};
     }
     if (auto usual = run_times_.reliable_estimate(queue_of(job), spec))
         return reference{*usual, step_key_hash(run)};
--- a/libs/pool/src/performance_model.hpp
+++ b/libs/pool/src/performance_model.hpp
@@ -66,8 +66,8 @@
         instant at_{};
         int progress_percent_ = 0;
         instant seen_at_{};
-        /// The run has a sample.
-        bool is_counted_ = false;
+        /// Key of the last sample that was added for the run; 0 if none was.
+        std::uint64_t counted_key_ = 0;
     };
 
     struct step_entry
@@ -85,6 +85,8 @@
 
     void observe_end(const worker_name& worker, const run_sighting& sighting,
                      const job_record& job, const step_spec& spec);
+    /// Compares the ends of a step's tasks with each other.
+    void compare_siblings(sibling_run_times& siblings);
     void observe_gang_end(const run_sighting& sighting, const job_record& job,
                           const step_spec& spec);
     void observe_progress(const worker_name& worker,
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -132,7 +132,6 @@
     workers_revision_.reset();
     swept_at_ = {};
     losses_ = make_loss_monitor();
-    performance_ = std::make_unique<performance_model>(state_);
     tokens_->begin(term);
     seen_notices_ = state_.notice_count();
     for (const auto& [name, record] : state_.workers())
@@ -187,6 +186,7 @@
 {
     term_ = 0;
     sessions_.clear();
+    performance_ = std::make_unique<performance_model>(state_);
     due_.clear();
     calls_.clear();
     accepted_at_.clear();
--- a/libs/pool/src/sibling_run_times.hpp
+++ b/libs/pool/src/sibling_run_times.hpp
@@ -18,6 +18,10 @@
     {
         /// Identifies the run.
         std::uint64_t run_ = 0;
+        /// Key of its sample as long as it is not settled.
+        std::uint64_t shared_key_ = 0;
+        /// Key of the last sample that was added for it; 0 if none was.
+        std::uint64_t counted_key_ = 0;
         worker_name worker_;
         instant ended_at_{};
         duration run_time_{};
--- a/libs/pool/src/speed_model.cpp
+++ b/libs/pool/src/speed_model.cpp
@@ -79,7 +79,8 @@
                                  return item.key_ == sample.key_;
                              });
     if (same != samples.end()) {
-        *same = sample;
+        if (is_new || same->run_ == sample.run_)
+            *same = sample;
         return;
     }
     if (!is_new)
--- a/libs/pool/src/speed_model.hpp
+++ b/libs/pool/src/speed_model.hpp
@@ -16,6 +16,8 @@
 {
     /// Samples of a worker with the same key count as one.
     std::uint64_t key_ = 0;
+    /// Identifies the run.
+    std::uint64_t run_ = 0;
     /// Natural logarithm of the speed relative to a typical worker.
     double log_speed_ = 0;
     instant taken_at_{};
@@ -34,8 +36,8 @@
     void add_worker(const worker_name& worker, const rack_name& rack,
                     instant now);
     void remove_worker(const worker_name& worker);
-    /// Replaces the sample with the same key. Without one, adds the sample if
-    /// `is_new`, which drops the oldest.
+    /// Adds a sample if `is_new`, in place of one with the same key or of the
+    /// oldest. Otherwise, updates the sample that its run still has.
     void record(const worker_name& worker, const speed_sample& sample,
                 bool is_new);
     /// Updates the speeds.
