--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -4,6 +4,7 @@
 #include "dandelioncrank/pool/pool_state.hpp"
 #include "dandelioncrank/pool/state_weight.hpp"
 #include "dandelioncrank/pool/worker_calls.hpp"
+#include "dandelioncrank/pool/worker_speed_summary.hpp"
 
 #include <functional>
 #include <map>
@@ -68,6 +69,7 @@
 
 class fencing_tokens;
 class loss_monitor;
+class performance_model;
 class progress_monitor;
 class proposal_tracker;
 
@@ -128,6 +130,10 @@
     void tick(instant now, std::int64_t wall_ms);
 
     [[nodiscard]] owner_output take_output();
+    /// The workers that are known to be slower or faster than most, with at
+    /// most `limit` in each list.
+    [[nodiscard]] worker_speed_summary
+    summarize_worker_speeds(std::size_t limit) const;
 
     /// Runs each plan, if set; lets the caller measure its cost.
     std::function<void(const std::function<void()>& plan)> around_plan_;
@@ -160,6 +166,7 @@
     void close_session(const worker_session& session, instant now);
     /// Keeps what a worker has confirmed, once for each job.
     void note_confirmed_starts(worker_session& session);
+    void note_sightings(worker_session& session);
     /// Proposes the starts confirmed since the last interval, together.
     void propose_confirmed_starts(instant now);
     /// Judges once why an incarnation was lost that has been replaced.
@@ -204,6 +211,7 @@
     std::unique_ptr<progress_monitor> progress_;
     /// When the progress of all runs was last judged.
     instant judged_at_{};
+    std::unique_ptr<performance_model> performance_;
     std::unique_ptr<fencing_tokens> tokens_;
     std::unique_ptr<proposal_tracker> proposals_;
     /// When tasks whose runs have lapsed repeatedly may start again.
--- a/libs/pool/src/pool_owner_stalls.cpp
+++ b/libs/pool/src/pool_owner_stalls.cpp
@@ -1,6 +1,7 @@
 // Runs that make no progress.
 #include "dandelioncrank/pool/pool_owner.hpp"
 
+#include "performance_model.hpp"
 #include "progress_monitor.hpp"
 #include "worker_session.hpp"
 
@@ -38,7 +39,7 @@
     for (const auto& item : sessions_)
         item.second->add_progress(reports, now);
     stall_findings findings =
-        progress_->judge(reports, performance_estimates{}, now);
+        progress_->judge(reports, performance_->estimates(), now);
     for (const stalled_unit& item : findings.stalled_) {
         for (const run_ref& run : item.runs_)
             request_stop(run);
