Zones can be evacuated in the replicated state and by the owner

Cause: an operator has to empty a zone; nothing may start there from 5 s after the acknowledgement, also not by calls in flight or by a replaced owner.

The state rejects starts in an evacuated zone. The owner ends what it has not sent as refused, stops what was sent and not answered, and ends a gang as a whole when a member may not start any more. Plans, quarantine and counts leave the workers of the zone out. A start call requests a lease of at most 3.5 s, so that a delayed one is void in time.

--- a/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
@@ -194,11 +194,25 @@
     }
 };
 
+/// Requests that nothing more starts on the workers of a zone, or withdraws
+/// that request. The order of the log decides between several requests.
+struct set_evacuation
+{
+    zone_name zone_;
+    bool is_evacuated_ = false;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(zone_, is_evacuated_);
+    }
+};
+
 /// The order is that of the stored commands; new ones go last.
 using pool_command =
     std::variant<accept_job, cancel_job, put_config, put_worker,
                  end_incarnation, start_run, record_outcomes,
-                 end_unreported_run, confirm_start>;
+                 end_unreported_run, confirm_start, set_evacuation>;
 
 /// The commands of one log entry; applied in order.
 using pool_batch = std::vector<pool_command>;
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -21,6 +21,11 @@
 {
     /// Duration of the lease that each renewal grants.
     duration lease_ = std::chrono::milliseconds(5500);
+    /// Lease that a start call requests at most. A start that is delayed is
+    /// void when its lease is over; with the time of a replaced owner and the
+    /// drift of clocks that is within 5 s of the commit of an evacuation. Hold
+    /// calls guarantee no more than this either.
+    duration start_lease_ = std::chrono::milliseconds(3500);
     /// Longest lease that a worker accepts from any owner.
     duration longest_lease_ = std::chrono::milliseconds(6000);
     /// How long a replaced owner may go on renewing leases: a leader without a
@@ -170,7 +175,13 @@
     /// Adds the workers whose runs have changed to those that are due.
     void add_changed_workers();
     void add_all_workers();
-    void request_stop(const run_ref& run);
+    /// Returns false if a stop was requested before or the run is unknown.
+    bool request_stop(const run_ref& run);
+    /// Notices changes of the evacuated zones.
+    void follow_evacuations();
+    /// Ends the gangs of which a member may not start any more, before their
+    /// other members stop waiting for it.
+    void end_split_gangs(worker_session& session);
     void advance_sessions(const std::set<worker_name>& workers, instant now);
     void plan(instant now, std::int64_t wall_ms);
     [[nodiscard]] planner_input make_input(instant now, std::int64_t wall_ms);
@@ -203,6 +214,7 @@
     std::map<task_ref, instant> restart_at_;
     /// Those of them whose lapse is undecided, by its proposal.
     std::multimap<std::uint64_t, task_ref> lapsing_tasks_;
+    std::set<zone_name> seen_evacuated_zones_;
     std::uint64_t seen_notices_ = 0;
     bool is_dirty_ = true;
     /// Workers revision of the state that the sessions match.
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -152,6 +152,15 @@
     replaced_by(const worker_info& info) const;
     /// Whether this or a later incarnation of an unknown worker has ended.
     [[nodiscard]] bool has_ended(const worker_info& info) const;
+    /// Zones on whose workers nothing may start.
+    [[nodiscard]] const std::set<zone_name>& evacuated_zones() const
+    {
+        return evacuated_zones_;
+    }
+    [[nodiscard]] bool is_evacuated(const zone_name& zone) const
+    {
+        return evacuated_zones_.contains(zone);
+    }
     [[nodiscard]] const job_record* find_job(const job_id& id) const;
     /// Returns the job that a call to a route names; null if there is none.
     [[nodiscard]] const job_record* find_job_at(const queue_access& access,
@@ -196,7 +205,8 @@
     {
         return queues_;
     }
-    /// Number of waiting jobs of queues whose service has no workers.
+    /// Number of waiting jobs of queues whose service has no workers outside of
+    /// evacuated zones.
     [[nodiscard]] std::uint64_t waiting_jobs_without_workers() const;
     /// Memory that the jobs need at the peak, in bytes; see state_weight.hpp.
     [[nodiscard]] std::uint64_t weight() const { return weight_; }
@@ -221,7 +231,8 @@
         // The other queues have the policy of their routes.
         std::map<queue_address, queue_policy> unrouted = unrouted_policies();
         archive(config_, jobs_, workers_, final_jobs, ended_incarnations_);
-        archive.appended(final_jobs_, unrouted, removed_teams_);
+        archive.appended(final_jobs_, unrouted, removed_teams_,
+                         evacuated_zones_);
         final_jobs_.assign(final_jobs);
         for (const auto& [address, policy] : unrouted)
             queues_.try_emplace(address, queue_record{policy});
@@ -246,6 +257,7 @@
     pool_reply handle(const record_outcomes& command);
     pool_reply handle(const end_unreported_run& command);
     pool_reply handle(const confirm_start& command);
+    pool_reply handle(const set_evacuation& command);
 
     /// Whether a call to a route may name a job.
     [[nodiscard]] static bool is_named_by(const job_record& job,
@@ -253,6 +265,8 @@
                                           const queue_route& route);
     [[nodiscard]] bool may_start(const job_record& job,
                                  const start_run& command) const;
+    /// Adds a notice if a rejected start was meant for an evacuated zone.
+    void report_withheld(const start_run& command);
     void end_run(const worker_name& worker, const run_ref& run,
                  run_outcome outcome, const checkpoint_record& checkpoint);
     void apply_late_success(const run_ref& run);
@@ -302,8 +316,9 @@
     void check_attempts(job_record& job, const task_ref& at);
     /// Updates the number of waiting jobs when one starts or stops waiting.
     void count_waiting(const job_record& job, int change);
-    /// Updates the number of workers of a service.
+    /// Updates the number of workers of a service that may start work.
     void count_worker(const worker_info& info, int change);
+    void recount_workers();
     void add_notice(const std::string& subject, std::string message,
                     const char* counter);
     void refresh_job(const job_id& id);
@@ -335,6 +350,7 @@
     team_keys removed_teams_;
     /// The last ended incarnation of each worker.
     std::map<worker_name, std::int64_t> ended_incarnations_;
+    std::set<zone_name> evacuated_zones_;
 
     // Derived from the above.
     std::uint64_t weight_ = 0;
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -408,22 +408,22 @@
         due_.insert(due_.end(), item.first);
 }
 
-void pool_owner::request_stop(const run_ref& run)
+bool pool_owner::request_stop(const run_ref& run)
 {
     const task_ref& at = run.task_;
     const job_record* job = state_.find_job(at.job_);
     if (job == nullptr)
-        return;
+        return false;
     const occurrence_record* record = job->occurrences_.find(at.occurrence_);
     if (record == nullptr)
-        return;
+        return false;
     const worker_name& worker =
         record->steps_.at(at.step_).tasks_.at(at.index_).worker_;
     auto session = sessions_.find(worker);
     if (session == sessions_.end())
-        return;
-    session->second->request_stop(run);
+        return false;
     due_.insert(worker);
+    return session->second->request_stop(run);
 }
 
 // Timeouts and events of other workers affect every session, but it is enough
@@ -437,6 +437,7 @@
     log_notices();
     propose_confirmed_starts(now);
     add_changed_workers();
+    follow_evacuations();
     auto workers = static_cast<duration::rep>(sessions_.size());
     bool is_sweep =
         now - swept_at_ >= sweep_interval + workers * sweep_interval_per_worker;
@@ -474,8 +475,10 @@
     std::size_t first_observation = output_.observations_.size();
     for (const worker_name& worker : workers) {
         auto session = sessions_.find(worker);
-        if (session != sessions_.end())
-            session->second->advance(now, next_call_, output_);
+        if (session == sessions_.end())
+            continue;
+        session->second->advance(now, next_call_, output_);
+        end_split_gangs(*session->second);
     }
     for (std::size_t i = first; i < output_.calls_.size(); ++i)
         calls_[output_.calls_[i].id_] = output_.calls_[i].worker_;
@@ -518,22 +521,25 @@
     input.weight_limit_ = weight_limit_;
     std::size_t quarantined = 0;
     std::size_t untrusted = 0;
+    std::size_t available = 0;
     for (const auto& [name, session] : sessions_) {
         session->add_run_observations(input);
+        if (session->is_evacuated())
+            continue;
+        ++available;
         bool usable = session->is_usable(now);
         quarantined += !usable && session->failure_count() > 0;
         untrusted += losses_->is_untrusted(session->address(), now);
         if (usable)
             input.usable_workers_[name] = session->failure_count();
     }
-    if (untrusted > 0 &&
-        untrusted * 100 <= sessions_.size() * max_quarantined_percent)
+    if (untrusted > 0 && untrusted * 100 <= available * max_quarantined_percent)
         std::erase_if(input.usable_workers_, [&](const auto& item) {
             return losses_->is_untrusted(sessions_.at(item.first)->address(),
                                          now);
         });
     // If many workers fail jobs, the jobs are at fault, not the workers.
-    if (quarantined * 100 > sessions_.size() * max_quarantined_percent) {
+    if (quarantined * 100 > available * max_quarantined_percent) {
         for (const auto& item : sessions_)
             item.second->clear_failures();
     }
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -285,6 +285,7 @@
             worker != workers_.end() &&
             worker->second.info_.incarnation_ == assignment.incarnation_ &&
             !worker->second.info_.is_draining_ &&
+            !is_evacuated(worker->second.info_.zone_) &&
             worker->second.info_.service_ == job.policy().service_;
         if (!usable || assignment.index_ >= spec.count_)
             return false;
@@ -312,8 +313,10 @@
 pool_reply pool_state::handle(const start_run& command)
 {
     auto found = jobs_.find(command.job_);
-    if (found == jobs_.end() || !may_start(found->second, command))
+    if (found == jobs_.end() || !may_start(found->second, command)) {
+        report_withheld(command);
         return pool_reply::rejected;
+    }
     job_record& job = found->second;
     step_record& step =
         job.occurrences_.open(command.occurrence_, job.spec_.steps_)
@@ -392,14 +395,6 @@
     job.has_started_ = true;
 }
 
-void pool_state::count_worker(const worker_info& info, int change)
-{
-    auto entry = workers_of_service_.try_emplace(info.service_, 0).first;
-    entry->second += static_cast<std::uint64_t>(change);
-    if (entry->second == 0)
-        workers_of_service_.erase(entry);
-}
-
 void pool_state::end_run(const worker_name& worker, const run_ref& run,
                          run_outcome outcome,
                          const checkpoint_record& checkpoint)
@@ -742,9 +737,7 @@
     weight_ = 0;
     waiting_unbound_.clear();
     unbound_jobs_ = 0;
-    workers_of_service_.clear();
-    for (const auto& item : workers_)
-        count_worker(item.second.info_, 1);
+    recount_workers();
     for (const queue_route& route : config_.routes_)
         queues_.try_emplace(route.address(),
                             queue_record{route.policy_, config_.version_});
--- a/libs/pool/src/resource_table.cpp
+++ b/libs/pool/src/resource_table.cpp
@@ -28,7 +28,8 @@
     for (const auto& [name, failures] : input_.usable_workers_) {
         auto found = state_.workers().find(name);
         if (found != state_.workers().end() &&
-            !found->second.info_.is_draining_)
+            !found->second.info_.is_draining_ &&
+            !state_.is_evacuated(found->second.info_.zone_))
             add_worker(found->second.info_, failures);
     }
     for (rack_index rack = 0; rack < racks_.size(); ++rack)
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -92,13 +92,13 @@
            lease_margin;
 }
 
-std::int64_t pool_owner::worker_session::grant_lease(instant now)
+std::int64_t pool_owner::worker_session::grant_lease(instant now,
+                                                     duration lease)
 {
-    auto longest =
-        std::chrono::duration_cast<duration>(timing_.lease_ * clock_drift);
+    auto longest = std::chrono::duration_cast<duration>(lease * clock_drift);
     lease_end_ = std::max(lease_end_, now + longest + lease_margin);
-    auto lease = std::chrono::floor<std::chrono::milliseconds>(timing_.lease_);
-    return clock_at(now) + lease.count();
+    auto lease_ms = std::chrono::floor<std::chrono::milliseconds>(lease);
+    return clock_at(now) + lease_ms.count();
 }
 
 bool pool_owner::worker_session::is_usable(instant now) const
@@ -109,7 +109,8 @@
                    now - last_failure_at_ > timing_.quarantine_;
     return is_responsive && is_capacity_known(now) && trusted && clock_ms_ &&
            now >= backoff_until_ && !retire_deadline_ && !is_replaced_ &&
-           !is_fenced_ && can_list_runs(now) && knows_all_runs(now);
+           !is_fenced_ && can_list_runs(now) && knows_all_runs(now) &&
+           !is_evacuated();
 }
 
 // A stray run takes resources until it has ended.
@@ -200,11 +201,11 @@
     return result;
 }
 
-void pool_owner::worker_session::request_stop(const run_ref& run)
+bool pool_owner::worker_session::request_stop(const run_ref& run)
 {
     auto found = runs_.find(run);
-    if (found != runs_.end())
-        found->second.stop_requested_ = true;
+    return found != runs_.end() &&
+           !std::exchange(found->second.stop_requested_, true);
 }
 
 // --- What is due
@@ -415,6 +416,7 @@
                                              std::uint64_t& next_call,
                                              owner_output& out)
 {
+    withhold_if_evacuated(run, entry, out);
     if (entry.call_id_ || now < entry.next_attempt_at_ || now > lease_end_ + 1h)
         return;
     if (is_fenced_ && entry.phase_ != run_phase::unsent)
@@ -474,8 +476,9 @@
     if (!desired || !to_send || !clock_ms_ || is_lost || must_wait)
         return;
     entry.phase_ = run_phase::unconfirmed;
-    start_call request{run, job.spec_.payload_, state_.checkpoint_of(run.task_),
-                       grant_lease(now)};
+    start_call request{
+        run, job.spec_.payload_, state_.checkpoint_of(run.task_),
+        grant_lease(now, std::min(timing_.lease_, timing_.start_lease_))};
     entry.call_id_ =
         send(std::move(request), timing_.call_timeout_, now, next_call, out);
 }
@@ -518,7 +521,7 @@
     // A lease that may never arrive would postpone the time at which the runs
     // have certainly ended.
     if (has_runs && is_in_contact && clock_ms_ && may_renew)
-        call.lease_until_ms_ = grant_lease(now);
+        call.lease_until_ms_ = grant_lease(now, timing_.lease_);
     hold_requested_ = false;
     acked_cursor_ = call.outcome_cursor_;
     duration timeout = call.wait_ + timing_.call_timeout_;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -42,8 +42,9 @@
                        instant now, owner_output& out);
     /// Sends all calls that are due.
     void advance(instant now, std::uint64_t& next_call, owner_output& out);
-    /// Requests a stop of a run that is preempted or stalled.
-    void request_stop(const run_ref& run);
+    /// Requests a stop of a run that is preempted, stalled or moved. Returns
+    /// false if a stop was requested before or the run is unknown.
+    bool request_stop(const run_ref& run);
     /// Records a failure of a job on this worker, once per job.
     void record_failure(const job_id& job, instant now);
     void clear_failures();
@@ -73,6 +74,14 @@
     {
         return std::exchange(confirmed_starts_, {});
     }
+    /// Whether nothing may start on the worker, by the zone that it is in.
+    [[nodiscard]] bool is_evacuated() const;
+    /// Returns, once each, the members of gangs that were withheld since the
+    /// worker is evacuated.
+    [[nodiscard]] std::vector<run_ref> take_withheld_gang_runs()
+    {
+        return std::exchange(withheld_gang_runs_, {});
+    }
     [[nodiscard]] std::vector<std::uint64_t> open_calls() const;
     /// Whether an open call may change what an incarnation runs or reports,
     /// also one that it was not sent to.
@@ -159,6 +168,9 @@
 
     void advance_run(const run_ref& run, run_entry& entry, instant now,
                      std::uint64_t& next_call, owner_output& out);
+    /// Ends a run that has not begun if the worker is evacuated.
+    void withhold_if_evacuated(const run_ref& run, run_entry& entry,
+                               owner_output& out);
     void advance_hold(instant now, std::uint64_t& next_call, owner_output& out);
     /// Asks a new incarnation for the runs that it may have taken.
     void advance_successor_hold(instant now, std::uint64_t& next_call,
@@ -225,7 +237,7 @@
     /// Whether its listings have been whole, or not for long.
     [[nodiscard]] bool can_list_runs(instant now) const;
     [[nodiscard]] std::int64_t clock_at(instant now) const;
-    [[nodiscard]] std::int64_t grant_lease(instant now);
+    [[nodiscard]] std::int64_t grant_lease(instant now, duration lease);
     /// Time after which any lease of the worker has ended by this host's clock.
     [[nodiscard]] duration longest_lease_time() const;
     [[nodiscard]] const worker_info& info() const;
@@ -282,6 +294,7 @@
     /// When such a run was listed last.
     instant unknown_listed_at_{};
     std::vector<run_ref> confirmed_starts_;
+    std::vector<run_ref> withheld_gang_runs_;
     std::uint64_t runs_revision_ = 0;
     std::map<std::uint64_t, open_call> calls_;
     std::optional<std::uint64_t> hold_call_id_;
