Operators evacuate zones by calls at the control address

Cause: the state and the owner know evacuated zones; nobody could request one.

Change: POST /evacuations/ZONE/start and /stop. The leader answers after the commit; for a zone in the requested state it confirms by a read barrier that it still leads, and commits if an opposite call came first. Unknown zones get 404, or 503 as long as the host knows no zone but its own.

--- a/libs/control/include/dandelioncrank/control/control_host.hpp
+++ b/libs/control/include/dandelioncrank/control/control_host.hpp
@@ -24,7 +24,9 @@
     /// No leader is known, or it could not commit in time.
     unavailable,
     /// The call contradicts what the worker that it names has said.
-    refused
+    refused,
+    /// The call names something that does not exist; text_ says what.
+    not_found
 };
 
 struct control_response
@@ -33,7 +35,8 @@
     /// Control address of the leader, or, when an announcement is done, of the
     /// host to which the worker sends its next announcement.
     std::string leader_;
-    /// The configuration, for a read; empty if there is none yet.
+    /// The configuration, for a read; empty if there is none yet. The reason,
+    /// if the call is refused for one.
     std::string text_;
 };
 
@@ -63,6 +66,10 @@
                        response_handler on_response);
     void put_config(const pool::pool_config& config,
                     response_handler on_response);
+    /// Requests that nothing more starts on the workers of a zone, or withdraws
+    /// that request. Idempotent.
+    void set_evacuation(const zone_name& zone, bool is_evacuated,
+                        response_handler on_response);
     /// Reads the current configuration, as it was submitted.
     void read_config(response_handler on_response);
 
--- a/libs/control/include/dandelioncrank/control/control_settings.hpp
+++ b/libs/control/include/dandelioncrank/control/control_settings.hpp
@@ -8,6 +8,7 @@
 #include "dandelioncrank/pool/pool_owner.hpp"
 #include "dandelioncrank/settings/settings_reader.hpp"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     host_port metrics_address_;
     /// Control addresses of some control hosts.
     std::vector<host_port> seeds_;
+    /// Zones of the deployment; empty if they are not known in advance.
+    std::set<zone_name> zones_;
     std::string data_dir_;
     /// Number of control hosts, with their disks, that may fail at the same
     /// time.
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -5,6 +5,7 @@
 #include "dandelioncrank/peer/peer_server.hpp"
 #include "dandelioncrank/replica/replica.hpp"
 #include "disk_thread.hpp"
+#include "evacuation_service.hpp"
 #include "group_log.hpp"
 #include "loop_report.hpp"
 #include "loss_description.hpp"
@@ -57,6 +58,7 @@
                    worker_caller call_worker, metric_registry& metrics);
 
     [[nodiscard]] worker_service& workers() { return *workers_; }
+    [[nodiscard]] evacuation_service& evacuations() { return *evacuations_; }
     [[nodiscard]] activity_meter& meter() { return meter_; }
     void put_config(const pool::pool_config& config,
                     response_handler on_response);
@@ -122,6 +124,7 @@
     bool owner_scheduled_ = false;
     instant owner_last_run_at_{};
     std::unique_ptr<worker_service> workers_;
+    std::unique_ptr<evacuation_service> evacuations_;
     std::map<std::string, instant> entry_hello_at_;
     std::unique_ptr<membership_manager> membership_;
     instant hellos_sent_at_{};
@@ -185,6 +188,11 @@
     workers_->redirect_to_leader_ = [this] { return redirect_to_leader(); };
     workers_->live_hosts_ = [this] { return live_hosts(); };
     workers_->on_owner_work_ = [this] { schedule_owner(); };
+    evacuations_ = std::make_unique<evacuation_service>(state(), *group_,
+                                                        metrics_, settings_);
+    evacuations_->is_leader_ = [this] { return is_leader(); };
+    evacuations_->redirect_to_leader_ = [this] { return redirect_to_leader(); };
+    evacuations_->host_zones_ = [this] { return membership_->zones(); };
     replica_->on_role_changed_ = [this] { role_changed(); };
     replica_->on_applied_ = [this] {
         owner_->state_changed();
@@ -544,6 +552,8 @@
                        static_cast<double>(state().weight()));
     metrics_.set_gauge("state_weight_limit_bytes",
                        static_cast<double>(settings_.weight_limit_));
+    metrics_.set_gauge("zones_evacuated",
+                       static_cast<double>(state().evacuated_zones().size()));
     metrics_.set_gauge(
         "waiting_jobs_without_workers",
         static_cast<double>(state().waiting_jobs_without_workers()));
@@ -603,6 +613,10 @@
         static_cast<qint64>(settings_.weight_limit_);
     object["given_up_jobs"] = describe_given_up(state());
     object["suspected_tasks"] = describe_suspects(state());
+    QJsonArray evacuated;
+    for (const zone_name& zone : state().evacuated_zones())
+        evacuated.append(QString::fromStdString(zone.str()));
+    object["evacuated_zones"] = evacuated;
     QJsonArray voters;
     for (const voter_name& identity : status.members_.voters_)
         voters.append(QString::fromStdString(identity.str()));
@@ -651,6 +665,12 @@
     implementation_->put_config(config, std::move(on_response));
 }
 
+void control_host::set_evacuation(const zone_name& zone, bool is_evacuated,
+                                  response_handler on_response)
+{
+    implementation_->evacuations().set(zone, is_evacuated, on_response);
+}
+
 void control_host::read_config(response_handler on_response)
 {
     implementation_->read_config(std::move(on_response));
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -1,6 +1,7 @@
 #include "dandelioncrank/control/control_settings.hpp"
 
 #include <absl/flags/flag.h>
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_split.h>
 #include <absl/time/time.h>
 
@@ -24,6 +25,9 @@
           "IP:PORT for metrics and the state dump; empty for none");
 ABSL_FLAG(std::string, seeds, "",
           "control addresses of some control hosts, separated by commas");
+ABSL_FLAG(std::string, zones, "",
+          "availability zones of the deployment, separated by commas; only "
+          "these and those of workers and hosts can be evacuated");
 ABSL_FLAG(std::string, data_dir, "", "directory for durable state");
 ABSL_FLAG(bool, bootstrap, false, "first start of the group");
 ABSL_FLAG(int, tolerated_hosts, 1,
@@ -78,6 +82,7 @@
              "ready_address",
              "metrics_address",
              "seeds",
+             "zones",
              "data_dir",
              "bootstrap",
              "tolerated_hosts",
@@ -151,6 +156,17 @@
                    "set a directory on a local disk");
 }
 
+std::set<zone_name> read_zones()
+{
+    std::set<zone_name> zones;
+    for (const auto& zone : absl::StrSplit(absl::GetFlag(FLAGS_zones), ',',
+                                           absl::SkipWhitespace())) {
+        auto name = absl::StripAsciiWhitespace(zone);
+        zones.emplace(std::string(name.data(), name.size()));
+    }
+    return zones;
+}
+
 log_level read_log_level(findings& faults)
 {
     std::string text = absl::GetFlag(FLAGS_log_level);
@@ -185,6 +201,7 @@
     control_settings& settings = result.settings_;
     settings.host_ = host_name(absl::GetFlag(FLAGS_host));
     settings.zone_ = zone_name(absl::GetFlag(FLAGS_zone));
+    settings.zones_ = read_zones();
     settings.data_dir_ = absl::GetFlag(FLAGS_data_dir);
     settings.bootstrap_ = absl::GetFlag(FLAGS_bootstrap);
     read_addresses(settings, faults);
--- a/libs/control/src/membership_manager.cpp
+++ b/libs/control/src/membership_manager.cpp
@@ -35,6 +35,14 @@
     return addresses;
 }
 
+std::set<zone_name> membership_manager::zones() const
+{
+    std::set<zone_name> result;
+    for (const auto& item : zones_)
+        result.insert(item.second);
+    return result;
+}
+
 void membership_manager::review(instant now)
 {
     if (!replica_.is_leader() || now - reviewed_at_ < review_interval)
--- a/libs/control/src/membership_manager.hpp
+++ b/libs/control/src/membership_manager.hpp
@@ -9,6 +9,7 @@
 #include "pool_state_machine.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
     /// Returns the internal addresses of the control hosts whose last hello
     /// came after a time.
     [[nodiscard]] std::vector<std::string> heard_since(instant time) const;
+    /// Returns the zones of the other control hosts that have sent a hello.
+    [[nodiscard]] std::set<zone_name> zones() const;
     /// Makes the next change of the members, if one is due.
     void review(instant now);
 
