Prefer other workers after a stall, and weigh slow work beside it

Cause: without evidence nobody is blamed, so the next run of a stalled task was placed on the same worker. Runs beside a slow one that progresses were taken for a sign that the worker stands.

--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -510,7 +510,9 @@
         quarantined += !usable && session->failure_count() > 0;
         untrusted += losses_->is_untrusted(session->address(), now);
         if (usable)
-            input.usable_workers_[name] = session->failure_count();
+            input.usable_workers_[name] =
+                session->failure_count() +
+                (progress_->is_doubtful(name) ? 1 : 0);
     }
     if (untrusted > 0 &&
         untrusted * 100 <= sessions_.size() * max_quarantined_percent)
--- a/libs/pool/src/progress_monitor.cpp
+++ b/libs/pool/src/progress_monitor.cpp
@@ -20,6 +20,8 @@
 constexpr double narrow_factor = 32;
 // How much longer a run may stand while others on its worker progress.
 constexpr double favor_factor = 2;
+// Work that is slower does not show soon whether its worker has stopped.
+constexpr duration max_shown_pace = 60s;
 // Gangs over several racks, and tasks away from their data, take this many
 // times as long.
 constexpr double remote_factor = 3;
@@ -105,21 +107,42 @@
               [](const candidate& left, const candidate& right) {
                   return left.run_ < right.run_;
               });
-    standing_map standing;
-    for (const candidate& item : candidates) {
-        // A gang may stand because of any of its workers.
-        if (item.overdue_ >= narrow_factor && item.unit_->members_.size() == 1)
-            standing[item.unit_->members_.front()->worker_->name_].push_back(
-                &item);
-    }
+    if (candidates.empty())
+        return findings;
+    worker_view view = make_view(candidates, estimates);
     for (candidate& item : candidates) {
-        duration allowed = allowed_time(item, standing);
+        duration allowed = allowed_time(item, view);
         if (item.unit_->pace_->standing() > allowed)
-            report_stall(item, allowed, standing, now, findings);
+            report_stall(item, allowed, view, now, findings);
     }
     return findings;
 }
 
+progress_monitor::worker_view
+progress_monitor::make_view(const std::vector<candidate>& candidates,
+                            const performance_estimates& estimates) const
+{
+    worker_view view;
+    for (const candidate& item : candidates) {
+        // A gang may stand because of any of its workers.
+        const report_list& members = item.unit_->members_;
+        if (item.overdue_ >= narrow_factor && members.size() == 1)
+            view.standing_[members.front()->worker_->name_].push_back(&item);
+    }
+    for (const auto& entry : units_) {
+        const unit& item = entry.second;
+        if (!item.pace_ || !item.pace_->has_risen())
+            continue;
+        auto own = item.pace_->slowest_percent();
+        duration due = own ? *own : expected_percent(item, estimates);
+        if (due > max_shown_pace || item.pace_->standing() > 2 * due)
+            continue;
+        for (const progress_report* report : item.current_)
+            view.progressing_.insert(report->worker_->name_);
+    }
+    return view;
+}
+
 void progress_monitor::observe(const std::vector<progress_report>& reports,
                                const performance_estimates& estimates,
                                instant now, stall_findings& findings)
@@ -129,10 +152,15 @@
         entry.second.members_.clear();
         entry.second.is_stopping_ = false;
     }
+    // In the order of the reports, which does not depend on the hash table.
+    std::vector<std::pair<const run_ref, unit>*> present;
     for (const progress_report& report : reports) {
         if (report.spec_->is_long_running_)
             continue;
-        unit& item = units_[unit_run(report)];
+        auto& entry = *units_.try_emplace(unit_run(report)).first;
+        unit& item = entry.second;
+        if (item.members_.empty())
+            present.push_back(&entry);
         item.members_.push_back(&report);
         item.is_stopping_ = item.is_stopping_ || report.is_stopping_;
         if (report.is_current_)
@@ -141,15 +169,8 @@
     std::erase_if(units_, [](const auto& entry) {
         return entry.second.members_.empty();
     });
-    // In the order of the reports, which does not depend on the hash table.
-    for (const progress_report& report : reports) {
-        if (report.spec_->is_long_running_)
-            continue;
-        run_ref run = unit_run(report);
-        unit& item = units_.at(run);
-        if (item.members_.front() == &report)
-            observe_unit(run, item, estimates, now, findings);
-    }
+    for (auto* entry : present)
+        observe_unit(entry->first, entry->second, estimates, now, findings);
 }
 
 void progress_monitor::observe_unit(const run_ref& run, unit& item,
@@ -176,9 +197,12 @@
     instant at = item.pace_->rise_at();
     for (const progress_report* report : item.current_)
         evidence_.note_progress(report->worker_->name_, at);
-    if (auto suspicion = evidence_.note_first_progress(
-            run, workers_of(item.members_), at - item.first_listed_at_, now))
-        findings.suspicions_.push_back(std::move(*suspicion));
+    if (evidence_.stops_of(run.task_) > 0) {
+        auto suspicion = evidence_.note_first_progress(
+            run, workers_of(item.members_), at - item.first_listed_at_, now);
+        if (suspicion)
+            findings.suspicions_.push_back(std::move(*suspicion));
+    }
     std::optional<duration> pace = item.pace_->mean_percent();
     if (!pace || item.members_.front()->spec_->is_gang_)
         return;
@@ -187,6 +211,15 @@
                scale(*pace, 1 / slowdown), now);
 }
 
+duration
+progress_monitor::expected_percent(const unit& item,
+                                   const performance_estimates& estimates)
+{
+    const progress_report& first = *item.members_.front();
+    return scale(estimates.run_time_of(*first.job_, *first.spec_),
+                 slowdown_of(item.members_, estimates) / 100);
+}
+
 progress_monitor::candidate
 progress_monitor::make_candidate(const run_ref& run, const unit& item,
                                  const performance_estimates& estimates) const
@@ -225,21 +258,23 @@
 // A worker that has stopped working made its last progress about when the run
 // did, so only what has come well after that counts.
 bool progress_monitor::is_in_favor(const candidate& item,
-                                   const worker_name& worker) const
+                                   const worker_name& worker,
+                                   const worker_view& view) const
 {
     const run_pace& pace = *item.unit_->pace_;
-    return evidence_.has_progressed_since(worker,
+    return view.progressing_.contains(worker) ||
+           evidence_.has_progressed_since(worker,
                                           pace.rise_at() + pace.standing() / 2);
 }
 
 std::string progress_monitor::find_evidence(const candidate& item,
                                             const worker_name& worker,
-                                            const standing_map& standing) const
+                                            const worker_view& view) const
 {
-    if (is_in_favor(item, worker))
+    if (is_in_favor(item, worker, view))
         return {};
-    auto found = standing.find(worker);
-    bool stands = found != standing.end() &&
+    auto found = view.standing_.find(worker);
+    bool stands = found != view.standing_.end() &&
                   std::any_of(found->second.begin(), found->second.end(),
                               [&item](const candidate* other) {
                                   // A job may stand by its own fault.
@@ -257,13 +292,13 @@
 
 bool progress_monitor::is_supported(const candidate& item,
                                     const worker_name& worker,
-                                    const standing_map& standing) const
+                                    const worker_view& view) const
 {
     if (item.has_siblings_ ||
         evidence_.has_stalled(worker, item.run_.task_, false))
         return true;
-    auto found = standing.find(worker);
-    return found != standing.end() &&
+    auto found = view.standing_.find(worker);
+    return found != view.standing_.end() &&
            std::any_of(found->second.begin(), found->second.end(),
                        [&item](const candidate* other) {
                            return other != &item && other->has_siblings_;
@@ -271,16 +306,17 @@
 }
 
 duration progress_monitor::allowed_time(candidate& item,
-                                        const standing_map& standing) const
+                                        const worker_view& view) const
 {
     bool is_suspect = false;
     bool is_in_favor_of_all = true;
     for (const progress_report* report : item.unit_->members_) {
         const worker_name& worker = report->worker_->name_;
-        is_in_favor_of_all = is_in_favor_of_all && is_in_favor(item, worker);
+        is_in_favor_of_all =
+            is_in_favor_of_all && is_in_favor(item, worker, view);
         is_suspect =
-            is_suspect || (!find_evidence(item, worker, standing).empty() &&
-                           is_supported(item, worker, standing));
+            is_suspect || (!find_evidence(item, worker, view).empty() &&
+                           is_supported(item, worker, view));
     }
     bool is_narrow = item.has_own_pace_ || is_suspect;
     duration allowed =
@@ -307,7 +343,7 @@
 }
 
 void progress_monitor::report_stall(const candidate& item, duration allowed,
-                                    const standing_map& standing, instant now,
+                                    const worker_view& view, instant now,
                                     stall_findings& findings)
 {
     const report_list& members = item.unit_->members_;
@@ -326,7 +362,7 @@
             {worker, item.run_.task_.job_, std::move(evidence)});
     };
     for (const worker_name& worker : workers) {
-        std::string evidence = find_evidence(item, worker, standing);
+        std::string evidence = find_evidence(item, worker, view);
         if (!evidence.empty())
             suspect(worker, std::move(evidence));
     }
@@ -337,7 +373,7 @@
     }
     if (suspects.empty() && workers.size() > 1) {
         const worker_name* common = evidence_.common_worker(workers);
-        if (common != nullptr && !is_in_favor(item, *common))
+        if (common != nullptr && !is_in_favor(item, *common, view))
             suspect(*common, "the only worker with a stalled gang before");
     }
     evidence_.note_stall(item.run_, workers, suspects, result.standing_, now);
--- a/libs/pool/src/progress_monitor.hpp
+++ b/libs/pool/src/progress_monitor.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace dandelioncrank::pool {
@@ -62,6 +63,11 @@
     [[nodiscard]] stall_findings
     judge(const std::vector<progress_report>& reports,
           const performance_estimates& estimates, instant now);
+    /// Whether other workers are preferred, since a run has stalled there.
+    [[nodiscard]] bool is_doubtful(const worker_name& worker) const
+    {
+        return evidence_.is_doubtful(worker);
+    }
     /// Drops what is known of a worker whose incarnation has ended.
     void forget_worker(const worker_name& worker)
     {
@@ -98,8 +104,16 @@
         double overdue_ = 0;
     };
 
-    using standing_map =
-        std::unordered_map<worker_name, std::vector<const candidate*>>;
+    /// What the runs of each worker show now.
+    struct worker_view
+    {
+        /// Runs that have stood for long.
+        std::unordered_map<worker_name, std::vector<const candidate*>>
+            standing_;
+        /// Workers with a run that has progressed and whose next percent is
+        /// hardly due yet.
+        std::unordered_set<worker_name> progressing_;
+    };
 
     /// The run of a unit: members of a gang have the first one's.
     [[nodiscard]] static run_ref unit_run(const progress_report& report);
@@ -119,26 +133,33 @@
     void note_rise(const run_ref& run, unit& item,
                    const performance_estimates& estimates, instant now,
                    stall_findings& findings);
+    [[nodiscard]] worker_view
+    make_view(const std::vector<candidate>& candidates,
+              const performance_estimates& estimates) const;
+    /// Time of a percent by the expected run time.
+    [[nodiscard]] static duration
+    expected_percent(const unit& item, const performance_estimates& estimates);
     [[nodiscard]] candidate
     make_candidate(const run_ref& run, const unit& item,
                    const performance_estimates& estimates) const;
     /// Whether other work on a worker progresses while a unit stands.
     [[nodiscard]] bool is_in_favor(const candidate& item,
-                                   const worker_name& worker) const;
+                                   const worker_name& worker,
+                                   const worker_view& view) const;
     /// Evidence that a worker makes no progress, besides a unit on it; empty
     /// if there is none.
     [[nodiscard]] std::string find_evidence(const candidate& item,
                                             const worker_name& worker,
-                                            const standing_map& standing) const;
+                                            const worker_view& view) const;
     /// Whether that evidence holds although declared run times may be wrong.
     [[nodiscard]] bool is_supported(const candidate& item,
                                     const worker_name& worker,
-                                    const standing_map& standing) const;
+                                    const worker_view& view) const;
     /// How long a unit may stand; completes the basis.
     [[nodiscard]] duration allowed_time(candidate& item,
-                                        const standing_map& standing) const;
+                                        const worker_view& view) const;
     void report_stall(const candidate& item, duration allowed,
-                      const standing_map& standing, instant now,
+                      const worker_view& view, instant now,
                       stall_findings& findings);
 
     duration shortest_;
--- a/libs/pool/src/run_pace.hpp
+++ b/libs/pool/src/run_pace.hpp
@@ -28,6 +28,8 @@
     bool observe(int percent, instant reported_at);
 
     [[nodiscard]] int percent() const { return percent_; }
+    /// Whether a rise was seen since the listings last had a gap.
+    [[nodiscard]] bool has_risen() const { return first_rise_.has_value(); }
     /// When the percent last rose, or the time without rises began to count.
     [[nodiscard]] instant rise_at() const { return rise_at_; }
     /// Time without a rise up to the last listing.
--- a/libs/pool/src/stall_evidence.cpp
+++ b/libs/pool/src/stall_evidence.cpp
@@ -98,13 +98,18 @@
                        });
 }
 
+bool stall_evidence::is_doubtful(const worker_name& worker) const
+{
+    auto found = workers_.find(worker);
+    return found != workers_.end() && !found->second.stalls_.empty();
+}
+
 const worker_name*
 stall_evidence::common_worker(const std::vector<worker_name>& workers) const
 {
     const worker_name* result = nullptr;
     for (const worker_name& worker : workers) {
-        auto found = workers_.find(worker);
-        if (found == workers_.end() || found->second.stalls_.empty())
+        if (!is_doubtful(worker))
             continue;
         if (result != nullptr)
             return nullptr;
--- a/libs/pool/src/stall_evidence.hpp
+++ b/libs/pool/src/stall_evidence.hpp
@@ -57,6 +57,9 @@
     [[nodiscard]] bool has_stalled(const worker_name& worker,
                                    const task_ref& except,
                                    bool same_job_counts) const;
+    /// Whether a run has stalled on a worker, whatever the cause, and nothing
+    /// has progressed there since.
+    [[nodiscard]] bool is_doubtful(const worker_name& worker) const;
     /// The only one of several workers on which a gang has stalled before
     /// without a suspect; null if there are several or none.
     [[nodiscard]] const worker_name*
--- a/libs/pool/test/owner_fixture.hpp
+++ b/libs/pool/test/owner_fixture.hpp
@@ -30,6 +30,12 @@
         now_ += time;
         owner_.tick(now_, 0);
         owner_output output = owner_.take_output();
+        commit(output);
+        return output.calls_;
+    }
+
+    void commit(const owner_output& output)
+    {
         for (const pool_command& item : output.observations_)
             state_.apply(item);
         for (const pool_command& item : output.starts_)
@@ -39,7 +45,6 @@
         if (!output.starts_.empty())
             owner_.starts_resolved();
         owner_.state_changed();
-        return output.calls_;
     }
 
     void answer(const worker_call& call, call_answer reply = {})
--- a/libs/pool/test/progress_monitor_test.cpp
+++ b/libs/pool/test/progress_monitor_test.cpp
@@ -1,3 +1,4 @@
+#include "owner_fixture.hpp"
 #include "progress_simulation.hpp"
 
 #include <catch2/catch.hpp>
@@ -63,7 +64,8 @@
         bool is_slowed = worker % 5 == 0 && now > begin + 3s;
         return slow_quarter(worker, now) / (is_slowed ? factor : 1.0);
     };
-    load.advance_until(begin + scale * 30min);
+    while (!load.runs_.empty() && load.now_ < begin + scale * 30min)
+        load.advance();
     CHECK(load.runs_.empty());
     CHECK(load.stalled_.empty());
     CHECK(load.suspected_.empty());
@@ -118,6 +120,21 @@
     CHECK(pool.runs_.front().listed_ == 4);
 }
 
+// A gang over racks takes 3 times as long. Load: such a gang with nothing else
+// to compare it with, which declares a tenth of its run time, on workers at
+// 0.55 of the speed that are slowed 4 times.
+TEST_CASE("a gang over racks may take as long as it does", "[progress_monitor]")
+{
+    progress_simulation pool(8);
+    pool.speed_ = [](std::size_t, instant) { return 0.55 / 4; };
+    pool.add_job("g", 8, 1min, true);
+    for (std::uint32_t i = 0; i < 8; ++i)
+        pool.start("g", i, i, 3 * 10min);
+    pool.advance_until(pool.now_ + 4h);
+    CHECK(pool.runs_.empty());
+    CHECK(pool.stalled_.empty());
+}
+
 // Load: work of 24 h, a percent of which takes 864 s, on a worker that is
 // slowed 8 times for some hours.
 TEST_CASE("work of a day ends", "[progress_monitor]")
@@ -205,11 +222,13 @@
     pool.add_job("bad", 1, 5s);
     pool.add_job("good", 1, 10min);
     pool.start("good", 0, 0, 10min);
+    pool.add_job("worse", 1, 5s);
     duration before{};
     for (std::uint32_t run = 1; run <= 3; ++run) {
         pool.start("bad", 0, 0, 100'000h, run);
+        pool.start("worse", 0, 0, 100'000h, run);
         pool.advance_until(pool.now_ + 2min);
-        REQUIRE(pool.stalled_.size() == run);
+        REQUIRE(pool.stalled_.size() == 2 * run);
         duration allowed = pool.stalled_.back().allowed_;
         CHECK(allowed >= 2 * before);
         before = allowed;
@@ -222,6 +241,58 @@
     pool.add_job("bad", 1, 5s);
     pool.start("bad", 0, 0, 100'000h, 4);
     pool.advance_until(pool.now_ + 2min);
-    REQUIRE(pool.stalled_.size() == 4);
+    REQUIRE(pool.stalled_.size() == 7);
     CHECK(pool.stalled_.back().allowed_ < before);
 }
+
+// The owner stopped each run after 4.5 s at one percent. Load: two workers, one
+// of which lists its run at 40 %, of five seconds and of two hours. Without
+// evidence the next run must not start where the last one has stalled.
+TEST_CASE("the owner stops a run that stands for longer than its length allows",
+          "[progress_monitor]")
+{
+    duration estimate = GENERATE(5s, 7200s);
+    owner_fixture pool;
+    step_spec step = pool_fixture::make_step(1, 1, false);
+    step.estimate_ = estimate;
+    std::vector<worker_call> calls = {pool.start_run_on_worker(step)};
+    const worker_name first = calls.front().worker_;
+    pool.add_worker(1, 0);
+    run_ref run{{job_id("a"), 0, 0, 0}, 1};
+    instant begin = pool.now_;
+    std::optional<instant> stopped_at;
+    std::optional<worker_name> next;
+    int stalled = 0;
+    while (pool.now_ < begin + 60s && !next) {
+        for (const worker_call& call : calls) {
+            call_answer listing;
+            if (call.worker_ == first && !stopped_at)
+                listing.running_ = {{run, {}, 40}};
+            else if (call.worker_ == first)
+                listing.ended_ = {{1, run, run_outcome::stopped, {}}};
+            pool.answer(call, listing);
+        }
+        pool.now_ += 100ms;
+        for (int i : {0, 1})
+            pool.owner_.record_announcement(pool_fixture::name_of(i), 1,
+                                            pool.clock(), pool.now_);
+        pool.owner_.tick(pool.now_, 0);
+        owner_output output = pool.owner_.take_output();
+        for (const owner_event& event : output.events_)
+            stalled += event.counter_ != nullptr &&
+                       event.counter_ == std::string("runs_stalled");
+        pool.commit(output);
+        calls = output.calls_;
+        if (!owner_fixture::filter<stop_call>(calls).empty() && !stopped_at)
+            stopped_at = pool.now_;
+        for (const auto& call : owner_fixture::filter<start_call>(calls))
+            next = call.worker_;
+    }
+    REQUIRE(stopped_at.has_value() == (estimate == 5s));
+    CHECK(stalled == (estimate == 5s ? 1 : 0));
+    if (stopped_at) {
+        CHECK(*stopped_at - begin < 8s);
+        REQUIRE(next);
+        CHECK(*next != first);
+    }
+}
