--- a/libs/pool/test/worker_speed_test.cpp
+++ b/libs/pool/test/worker_speed_test.cpp
@@ -328,7 +328,7 @@
     std::map<worker_name, fake_worker> workers_;
     std::vector<std::string> events_;
     int slow_worker_ = -1;
-    /// Its calls and answers are lost for two of each four seconds.
+    /// Its calls and answers are lost for three of each four seconds.
     int cut_worker_ = -1;
 
   private:
@@ -337,7 +337,7 @@
         step_spec spec = make_step(1, 1, false);
         fake_worker& worker = workers_.at(call.worker_);
         bool is_slow = call.worker_ == name_of(slow_worker_);
-        bool is_cut = input_.now_.time_since_epoch() % 4s < 2s;
+        bool is_cut = input_.now_.time_since_epoch() % 4s < 3s;
         if (is_cut && call.worker_ == name_of(cut_worker_)) {
             owner_.handle_result(call.id_, call_lost{}, input_.now_);
             return;
