Tasks without an end leave an evacuated zone; cold workers fill in steps

Cause: a task without an end would hold its zone for ever, and workers that come back after an evacuation are slow at first and were filled at once.

Change: a plan stops at most four runs without an end at a time, or one gang, if there is room for them elsewhere after all that waits was placed. cold_start_limiter gives a cold worker a quarter of its capacity and another one each time that a quarter of its time has passed; a plan uses the rest only for work that finds no other room.

--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -77,6 +77,9 @@
     /// occurrences at a time.
     std::uint64_t weight_limit_ = std::numeric_limits<std::uint64_t>::max();
     performance_estimates estimates_;
+    /// Percentage of the capacity that workers use which are still slow after
+    /// their start, as long as others have room.
+    std::map<worker_name, int> cold_shares_;
 };
 
 /// A run to be stopped in favour of another job.
@@ -99,6 +102,9 @@
     std::set<step_key> spread_steps_;
     /// Steps with tasks that stay waiting, with the reason.
     std::map<step_key, wait_reason> waits_;
+    /// Runs without an end to be stopped, as they are in an evacuated zone and
+    /// there is room for them elsewhere.
+    std::vector<run_ref> moves_;
 };
 
 /// Decides which waiting tasks start on which workers and which running tasks
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dandelioncrank/pool/cold_start_limiter.hpp"
 #include "dandelioncrank/pool/placement_planner.hpp"
 #include "dandelioncrank/pool/pool_state.hpp"
 #include "dandelioncrank/pool/state_weight.hpp"
@@ -98,10 +99,11 @@
     /// Opens a session for a worker whose change has just been committed;
     /// call before record_announcement(). tick() handles the remaining changes.
     void add_worker(const worker_name& worker, instant now);
-    /// Records that a worker has announced itself.
+    /// Records that a worker has announced itself, and for how long it will be
+    /// slow after its start.
     void record_announcement(const worker_name& worker,
                              std::int64_t incarnation, std::int64_t clock_ms,
-                             instant now);
+                             instant now, duration cold_remaining = {});
     /// Prepares for the shutdown of a worker: ends its incarnation once its
     /// runs are over, and the outcomes that it reports are recorded. Returns
     /// false if the owner does not manage that incarnation.
@@ -182,6 +184,8 @@
     /// Ends the gangs of which a member may not start any more, before their
     /// other members stop waiting for it.
     void end_split_gangs(worker_session& session);
+    /// Stops the runs that leave an evacuated zone.
+    void stop_moved(const std::vector<run_ref>& runs);
     void advance_sessions(const std::set<worker_name>& workers, instant now);
     void plan(instant now, std::int64_t wall_ms);
     [[nodiscard]] planner_input make_input(instant now, std::int64_t wall_ms);
@@ -214,6 +218,7 @@
     std::map<task_ref, instant> restart_at_;
     /// Those of them whose lapse is undecided, by its proposal.
     std::multimap<std::uint64_t, task_ref> lapsing_tasks_;
+    cold_start_limiter cold_starts_;
     std::set<zone_name> seen_evacuated_zones_;
     std::uint64_t seen_notices_ = 0;
     bool is_dirty_ = true;
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -1,5 +1,6 @@
 #include "dandelioncrank/pool/placement_planner.hpp"
 
+#include "evacuation_moves.hpp"
 #include "pending_unit.hpp"
 #include "placement_search.hpp"
 #include "resource_table.hpp"
@@ -52,6 +53,7 @@
         for (const pending_unit& unit :
              collect_pending(state_, input_, guarantees_.jobs_))
             place_unit(unit);
+        plan_moves();
         return std::move(plan_);
     }
 
@@ -66,6 +68,26 @@
         place_one_by_one(unit);
     }
 
+    /// Moves get what the waiting work has left.
+    void plan_moves()
+    {
+        evacuation_moves moves =
+            collect_evacuation_moves(state_, input_, guarantees_.jobs_);
+        for (const evacuation_move& item : moves.candidates_) {
+            if (!moves.has_room_for(item) || !leaves_headroom(item.unit_))
+                continue;
+            search_.set_uses_cold_room(false);
+            auto where = search_.find_free(item.unit_);
+            if (!where)
+                continue;
+            for (worker_index index : where->workers_)
+                table_.allocate(index, item.unit_);
+            plan_.moves_.insert(plan_.moves_.end(), item.runs_.begin(),
+                                item.runs_.end());
+            moves.moving_ += item.runs_.size();
+        }
+    }
+
     void place_one_by_one(const pending_unit& unit)
     {
         pending_unit single = unit;
@@ -99,7 +121,12 @@
             plan_.waits_[unit.key()] = wait_reason::awaits_probation;
             return std::nullopt;
         }
+        search_.set_uses_cold_room(false);
         auto where = search_.find_free(unit);
+        if (!where && table_.has_cold_workers()) {
+            search_.set_uses_cold_room(true);
+            where = search_.find_free(unit);
+        }
         if (!where && may_relax(unit)) {
             search_.set_relaxed(true);
             where = search_.find_free(unit);
--- a/libs/pool/src/placement_search.cpp
+++ b/libs/pool/src/placement_search.cpp
@@ -157,7 +157,8 @@
         return result;
     bool is_unconstrained = spec.per_worker_limit_ == 0 &&
                             spec.required_label_.empty() &&
-                            !unit.is_suspect() && !is_relaxed_;
+                            !unit.is_suspect() && !is_relaxed_ &&
+                            (uses_cold_room_ || !table_.has_cold_workers());
     if (result.workers_.empty() && is_unconstrained)
         unplaceable_needs_.emplace_back(*service, spec.need_);
     return std::nullopt;
@@ -191,6 +192,14 @@
     return std::nullopt;
 }
 
+resources placement_search::usable_on(const worker_resources& where) const
+{
+    resources result = where.free_;
+    if (!uses_cold_room_)
+        result -= where.withheld_;
+    return result;
+}
+
 bool placement_search::has_room(const pending_unit& unit,
                                 worker_index where) const
 {
@@ -198,7 +207,7 @@
     const worker_resources& worker = table_.workers()[where];
     bool is_full = spec.per_worker_limit_ > 0 &&
                    table_.placed(unit.key(), where) >= spec.per_worker_limit_;
-    return !is_full && spec.need_.fits_into(worker.free_) &&
+    return !is_full && spec.need_.fits_into(usable_on(worker)) &&
            is_eligible(unit, worker) && is_available(unit, worker);
 }
 
@@ -311,7 +320,7 @@
         const worker_resources& where = table_.workers()[index];
         candidate item;
         item.index_ = index;
-        item.free_ = where.free_;
+        item.free_ = usable_on(where);
         if (allow_preemption)
             item.free_ += where.releasing_;
         else if (!spec.need_.fits_into(item.free_))
--- a/libs/pool/src/placement_search.hpp
+++ b/libs/pool/src/placement_search.hpp
@@ -41,6 +41,9 @@
     /// Whether work may share a worker with suspects, and suspects may return
     /// to a host where they have crashed.
     void set_relaxed(bool is_relaxed) { is_relaxed_ = is_relaxed; }
+    /// Whether to use all room of workers that are still slow after their
+    /// start.
+    void set_uses_cold_room(bool uses) { uses_cold_room_ = uses; }
     /// Finds the placement that loses the least work by preemption.
     [[nodiscard]] std::optional<placement>
     find_with_preemption(const pending_unit& unit);
@@ -104,6 +107,8 @@
     /// Finds the worker where the crash of a suspected task would lose least.
     [[nodiscard]] std::optional<worker_index>
     find_least_risk(const pending_unit& unit, service_index service) const;
+    /// Free resources that may be used now, in view of a slow start.
+    [[nodiscard]] resources usable_on(const worker_resources& where) const;
     [[nodiscard]] bool has_room(const pending_unit& unit,
                                 worker_index where) const;
     [[nodiscard]] static bool can_preempt(const pending_unit& unit,
@@ -114,6 +119,7 @@
     /// Needs for which no worker of a service has enough free resources.
     std::vector<std::pair<service_index, resources>> unplaceable_needs_;
     bool is_relaxed_ = false;
+    bool uses_cold_room_ = false;
     /// Victims of the current search.
     std::vector<bool> is_selected_;
 };
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -187,6 +187,7 @@
     confirmed_starts_.clear();
     clearings_.clear();
     waits_.clear();
+    cold_starts_.clear();
     restart_at_.clear();
     lapsing_tasks_.clear();
     proposals_->reset();
@@ -196,12 +197,14 @@
 
 void pool_owner::record_announcement(const worker_name& worker,
                                      std::int64_t incarnation,
-                                     std::int64_t clock_ms, instant now)
+                                     std::int64_t clock_ms, instant now,
+                                     duration cold_remaining)
 {
     auto found = sessions_.find(worker);
-    if (found != sessions_.end() &&
-        found->second->incarnation() == incarnation &&
-        found->second->record_announcement(clock_ms, now))
+    if (found == sessions_.end() || found->second->incarnation() != incarnation)
+        return;
+    cold_starts_.record(worker, incarnation, cold_remaining, now);
+    if (found->second->record_announcement(clock_ms, now))
         due_.insert(worker);
 }
 
@@ -555,6 +558,8 @@
             max_inherited_age_ms);
         found->second = now - std::chrono::milliseconds(age);
     }
+    cold_starts_.expire(now);
+    input.cold_shares_ = cold_starts_.shares(now);
     input.accepted_at_ = accepted_at_;
     input.clearings_ = clearings_;
     std::erase_if(restart_at_,
@@ -619,6 +624,7 @@
                  std::to_string(std::llround(item.lost_work_)) +
                  " core-seconds in total"});
     }
+    stop_moved(result.moves_);
     for (start_run& command : result.starts_) {
         step_key step{command.job_, command.occurrence_, command.step_};
         bool is_spread = result.spread_steps_.contains(step);
--- a/libs/pool/src/pool_owner_evacuation.cpp
+++ b/libs/pool/src/pool_owner_evacuation.cpp
@@ -39,6 +39,18 @@
     }
 }
 
+void pool_owner::stop_moved(const std::vector<run_ref>& runs)
+{
+    for (const run_ref& run : runs) {
+        if (request_stop(run))
+            output_.events_.push_back(
+                {run.task_.job_.str(),
+                 "run " + to_text(run) +
+                     " is stopped to move out of an evacuated zone",
+                 "runs_ended_for_evacuation"});
+    }
+}
+
 bool pool_owner::worker_session::is_evacuated() const
 {
     return state_.is_evacuated(info().zone_);
--- a/libs/pool/src/resource_table.cpp
+++ b/libs/pool/src/resource_table.cpp
@@ -51,6 +51,14 @@
     item.info_ = &info;
     item.failures_ = failures;
     item.free_ = info.capacity_;
+    auto cold = input_.cold_shares_.find(info.name_);
+    if (cold != input_.cold_shares_.end()) {
+        std::int64_t withheld = 100 - cold->second;
+        item.withheld_ = {info.capacity_.cpu_ * withheld / 100,
+                          info.capacity_.memory_mb_ * withheld / 100,
+                          info.capacity_.accelerators_ * withheld / 100};
+        has_cold_workers_ = true;
+    }
     item.service_ =
         services_.try_emplace(info.service_, services_.size()).first->second;
     free_workers_.resize(services_.size());
--- a/libs/pool/src/resource_table.hpp
+++ b/libs/pool/src/resource_table.hpp
@@ -51,6 +51,9 @@
     double used_cores_ = 0;
     /// Free and not reserved.
     resources free_;
+    /// Left free while others have room, as the worker is still slow after its
+    /// start.
+    resources withheld_;
     /// Becomes free once the victims selected so far have ended.
     resources releasing_;
     /// In order of increasing cost.
@@ -130,6 +133,7 @@
     {
         return suspect_workers_;
     }
+    [[nodiscard]] bool has_cold_workers() const { return has_cold_workers_; }
     /// Number of tasks of a step on a worker, including those of this plan.
     [[nodiscard]] std::uint32_t placed(const step_key& step,
                                        worker_index where) const;
@@ -173,6 +177,7 @@
     std::int64_t free_accelerators_ = 0;
     std::int64_t total_accelerators_ = 0;
     std::size_t suspect_workers_ = 0;
+    bool has_cold_workers_ = false;
 };
 
 } // namespace dandelioncrank::pool
--- a/libs/pool/test/evacuation_test.cpp
+++ b/libs/pool/test/evacuation_test.cpp
@@ -351,3 +351,67 @@
     for (const task_assignment& item : plan.starts_[0].assignments_)
         CHECK(item.worker_ == pool_fixture::name_of(1));
 }
+
+// Guards against a service that stays in the zone for ever, against one that is
+// stopped without room elsewhere, and against the loss of work with an end.
+TEST_CASE("tasks without an end leave an evacuated zone as room allows",
+          "[evacuation]")
+{
+    pool_fixture pool(2);
+    for (int i = 0; i < 2; ++i) {
+        worker_info info =
+            pool.state_.worker_at(pool_fixture::name_of(i)).info_;
+        info.zone_ = i == 0 ? north : south;
+        pool.state_.apply(put_worker{info});
+    }
+    step_spec service = pool_fixture::make_step(6, 1, false);
+    service.is_long_running_ = true;
+    pool.state_.apply(set_evacuation{south, true});
+    pool.submit("service", {service}, 0);
+    pool.submit("batch", {pool_fixture::make_step(2, 1, false)}, 0);
+    pool.plan_and_start();
+    REQUIRE(pool.state_.runs_on(pool_fixture::name_of(0)).size() == 8);
+    for (auto& item : pool.input_.runs_)
+        item.second.running_since_ = pool.input_.now_;
+    pool.state_.apply(set_evacuation{south, false});
+    pool.submit("other", {pool_fixture::make_step(1, 7, false)}, 0);
+    pool.plan_and_start();
+    pool.state_.apply(set_evacuation{north, true});
+    // There is room for one.
+    placement_plan plan = pool.plan();
+    REQUIRE(plan.moves_.size() == 1);
+    CHECK(plan.moves_[0].task_.job_ == job_id("service"));
+    pool.end_all(job_id("other"), run_outcome::done);
+    plan = pool.plan();
+    CHECK(plan.moves_.size() == 4);
+    for (const run_ref& run : plan.moves_)
+        pool.input_.runs_[run].is_stopping_ = true;
+    CHECK(pool.plan().moves_.empty());
+    for (const run_ref& run : plan.moves_)
+        pool.end_run(run, run_outcome::stopped);
+    pool.plan_and_start();
+    CHECK(pool.state_.runs_on(pool_fixture::name_of(1)).size() == 4);
+}
+
+// Guards against a gang that moves in part.
+TEST_CASE("a gang without an end moves as a whole", "[evacuation]")
+{
+    pool_fixture pool(4);
+    for (int i = 0; i < 4; ++i) {
+        worker_info info =
+            pool.state_.worker_at(pool_fixture::name_of(i)).info_;
+        info.zone_ = i == 0 ? north : south;
+        pool.state_.apply(put_worker{info});
+    }
+    step_spec service = pool_fixture::make_step(2, 8, true);
+    service.is_long_running_ = true;
+    pool.submit("service", {service}, 0);
+    pool.plan_and_start();
+    REQUIRE(pool.state_.runs_on(pool_fixture::name_of(0)).size() == 1);
+    pool.state_.apply(set_evacuation{north, true});
+    // A member that is not under way may still have to wait for the others.
+    CHECK(pool.plan().moves_.empty());
+    for (auto& item : pool.input_.runs_)
+        item.second.running_since_ = pool.input_.now_;
+    CHECK(pool.plan().moves_.size() == 2);
+}
