--- a/libs/control/include/dandelioncrank/control/control_host.hpp
+++ b/libs/control/include/dandelioncrank/control/control_host.hpp
@@ -58,9 +58,11 @@
     control_host(const control_host&) = delete;
     control_host& operator=(const control_host&) = delete;
 
-    /// Registers or refreshes a worker; `sequence` numbers its announcements.
+    /// Registers or refreshes a worker; `sequence` numbers its announcements,
+    /// and it will be slow for `cold_remaining`.
     void announce_worker(const pool::worker_info& info, std::int64_t clock_ms,
-                         std::uint64_t sequence, response_handler on_response);
+                         std::uint64_t sequence, duration cold_remaining,
+                         response_handler on_response);
     /// Removes a worker that has finished its work.
     void remove_worker(const worker_name& worker, std::int64_t incarnation,
                        response_handler on_response);
--- a/libs/control/src/announcement_balancer.cpp
+++ b/libs/control/src/announcement_balancer.cpp
@@ -58,9 +58,10 @@
 }
 
 void announcement_balancer::add_to_batch(const pool::worker_info& info,
-                                         std::int64_t clock_ms)
+                                         std::int64_t clock_ms,
+                                         duration cold_remaining)
 {
-    batch_.push_back({info.name_, info.incarnation_, clock_ms});
+    batch_.push_back({info.name_, info.incarnation_, clock_ms, cold_remaining});
 }
 
 std::vector<relayed_announcement> announcement_balancer::take_batch(instant now)
--- a/libs/control/src/announcement_balancer.hpp
+++ b/libs/control/src/announcement_balancer.hpp
@@ -33,7 +33,8 @@
     /// Whether the state already holds exactly the announced information.
     [[nodiscard]] bool is_unchanged(const pool::worker_info& info) const;
     /// Adds an announcement to the next batch for the leader.
-    void add_to_batch(const pool::worker_info& info, std::int64_t clock_ms);
+    void add_to_batch(const pool::worker_info& info, std::int64_t clock_ms,
+                      duration cold_remaining = {});
     /// Returns the batch if the batch interval has passed, else an empty one.
     std::vector<relayed_announcement> take_batch(instant now);
 
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -647,9 +647,11 @@
 void control_host::announce_worker(const pool::worker_info& info,
                                    std::int64_t clock_ms,
                                    std::uint64_t sequence,
+                                   duration cold_remaining,
                                    response_handler on_response)
 {
-    implementation_->workers().announce(info, clock_ms, sequence, on_response);
+    implementation_->workers().announce(info, clock_ms, sequence,
+                                        cold_remaining, on_response);
 }
 
 void control_host::remove_worker(const worker_name& worker,
--- a/libs/control/src/control_messages.hpp
+++ b/libs/control/src/control_messages.hpp
@@ -56,11 +56,13 @@
     std::int64_t incarnation_ = 0;
     /// Reading of the worker's clock.
     std::int64_t clock_ms_ = 0;
+    duration cold_remaining_{};
 
     template <class Archive>
     void fields(Archive& archive)
     {
         archive(worker_, incarnation_, clock_ms_);
+        archive.appended(cold_remaining_);
     }
 };
 
--- a/libs/control/src/worker_service.cpp
+++ b/libs/control/src/worker_service.cpp
@@ -42,6 +42,7 @@
 
 void worker_service::announce(const pool::worker_info& info,
                               std::int64_t clock_ms, std::uint64_t sequence,
+                              duration cold_remaining,
                               const response_handler& on_response)
 {
     bool is_leader = replica_.is_leader();
@@ -57,7 +58,8 @@
     control_response done{control_outcome::done, own_address_, {}};
     if (is_leader)
         done.leader_ = assigned_host(info.name_);
-    registration item{info, clock_ms, done, on_response, steady_now()};
+    registration item{info,         clock_ms, done,          on_response,
+                      steady_now(), false,    cold_remaining};
     if (is_leader && contradicts_state(info)) {
         confirm_worker(std::move(item));
         return;
@@ -73,9 +75,9 @@
     }
     if (is_leader)
         owner_.record_announcement(info.name_, info.incarnation_, clock_ms,
-                                   steady_now());
+                                   steady_now(), cold_remaining);
     else
-        balancer_.add_to_batch(info, clock_ms);
+        balancer_.add_to_batch(info, clock_ms, cold_remaining);
     on_response(done);
 }
 
@@ -178,9 +180,9 @@
                        instant now = steady_now();
                        owner_.state_changed();
                        owner_.add_worker(item.info_.name_, now);
-                       owner_.record_announcement(item.info_.name_,
-                                                  item.info_.incarnation_,
-                                                  item.clock_ms_, now);
+                       owner_.record_announcement(
+                           item.info_.name_, item.info_.incarnation_,
+                           item.clock_ms_, now, item.cold_remaining_);
                        item.on_response_(item.done_);
                    });
 }
@@ -215,9 +217,9 @@
     if (!replica_.is_leader())
         return;
     for (const relayed_announcement& announcement : item.announcements_)
-        owner_.record_announcement(announcement.worker_,
-                                   announcement.incarnation_,
-                                   announcement.clock_ms_, now);
+        owner_.record_announcement(
+            announcement.worker_, announcement.incarnation_,
+            announcement.clock_ms_, now, announcement.cold_remaining_);
 }
 
 void worker_service::remove(const worker_name& worker, std::int64_t incarnation,
--- a/libs/control/src/worker_service.hpp
+++ b/libs/control/src/worker_service.hpp
@@ -28,7 +28,8 @@
                    metric_registry& metrics, std::string own_address);
 
     void announce(const pool::worker_info& info, std::int64_t clock_ms,
-                  std::uint64_t sequence, const response_handler& on_response);
+                  std::uint64_t sequence, duration cold_remaining,
+                  const response_handler& on_response);
     void remove(const worker_name& worker, std::int64_t incarnation,
                 const response_handler& on_response);
     /// Answers pending removals: with done once the worker's incarnation has
@@ -67,6 +68,7 @@
         instant since_{};
         /// The process at the address has confirmed the announcement.
         bool is_confirmed_ = false;
+        duration cold_remaining_{};
     };
 
     void log_registration(const pool::worker_info& info);
