Bound what clients can make an HTTP server hold

Cause: Beast asks for more input until a chunk line or all trailers are complete, so an endless one was buffered and scanned again without a bound; pipelined input grew by 64 KiB with each response; bodies and unread answers were bounded for each connection only; idle connections kept out new ones.

The longest idle connections are closed for new ones.

--- a/libs/http/include/dandelioncrank/http/http_limits.hpp
+++ b/libs/http/include/dandelioncrank/http/http_limits.hpp
@@ -22,6 +22,9 @@
     duration write_time_ = std::chrono::seconds(30);
     /// Maximum number of open connections per server.
     std::size_t connections_ = 10000;
+    /// Size of the kernel's buffers of a connection, for each direction; the
+    /// kernel doubles it for its own overhead. 0 leaves it to the kernel.
+    std::size_t socket_buffer_bytes_ = 64 * 1024;
 };
 
 } // namespace dandelioncrank
--- a/libs/http/include/dandelioncrank/http/http_server.hpp
+++ b/libs/http/include/dandelioncrank/http/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dandelioncrank/http/buffer_budget.hpp"
 #include "dandelioncrank/http/descriptor_budget.hpp"
 #include "dandelioncrank/http/server_connection.hpp"
 #include "dandelioncrank/http/tcp_listener.hpp"
@@ -57,16 +58,23 @@
     /// budget and enforces its thresholds. The budget must outlive the server.
     void set_descriptor_budget(descriptor_budget& budget);
 
+    /// Counts the buffers of this server's connections against the budget,
+    /// which must outlive the server. Set it before the first connection.
+    void set_buffer_budget(buffer_budget& budget);
+
     /// Customizes responses to requests that could not be parsed.
     std::function<void(http_response&)> on_error_response_;
 
   private:
     void accept(int descriptor);
+    [[nodiscard]] bool is_full() const;
+    void close_longest_idle();
     void handle(server_connection& connection, http_request request);
     void remove(server_connection* connection);
 
     http_limits limits_;
     descriptor_budget* budget_ = nullptr;
+    buffer_budget* buffers_ = nullptr;
     handler on_request_;
     std::unique_ptr<tcp_listener> listener_;
     std::map<server_connection*, std::unique_ptr<server_connection>>
@@ -74,6 +82,8 @@
     bool stopping_ = false;
     /// Ends listening, a while after stop_accepting().
     QTimer close_timer_;
+    /// Checks for stalled senders.
+    QTimer stall_timer_;
 };
 
 } // namespace dandelioncrank
--- a/libs/http/include/dandelioncrank/http/message_parser.hpp
+++ b/libs/http/include/dandelioncrank/http/message_parser.hpp
@@ -4,6 +4,7 @@
 #include "dandelioncrank/http/http_message.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace dandelioncrank {
@@ -27,6 +28,8 @@
 /// In addition to Boost.Beast's checks, it rejects repeated Content-Length
 /// fields, folded header lines, requests with a missing or repeated Host, bare
 /// line feeds, and responses delimited only by the close of the connection.
+/// Chunk lines and trailers together are bounded as the header is, but for the
+/// ordinary framing of each chunk.
 class message_parser
 {
   public:
@@ -51,6 +54,11 @@
     [[nodiscard]] bool head_complete() const;
     /// Whether the client waits for "100 Continue" before sending the body.
     [[nodiscard]] bool expects_continue() const;
+    /// Bytes of the header and the body that are held.
+    [[nodiscard]] std::size_t buffered_bytes() const;
+    [[nodiscard]] std::size_t body_bytes() const;
+    /// The Content-Length, where there is one.
+    [[nodiscard]] std::optional<std::size_t> announced_body_bytes() const;
     [[nodiscard]] const parse_error& error() const;
 
     /// Moves the message out. Valid only in state complete.
--- a/libs/http/include/dandelioncrank/http/server_connection.hpp
+++ b/libs/http/include/dandelioncrank/http/server_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dandelioncrank/http/buffer_account.hpp"
 #include "dandelioncrank/http/http_limits.hpp"
 #include "dandelioncrank/http/message_parser.hpp"
 #include "dandelioncrank/http/tcp_socket.hpp"
@@ -9,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace dandelioncrank {
 
@@ -23,6 +25,10 @@
     server_connection(int descriptor, const http_limits& limits,
                       request_handler on_request);
 
+    /// Counts the buffers of this connection against the budget, which must
+    /// outlive it.
+    void set_buffer_budget(buffer_budget& budget);
+
     /// Sends the response to the request in flight. Call once per request.
     void respond(http_response response);
 
@@ -30,6 +36,17 @@
     /// to the next request if the connection is idle.
     void close_after_response();
 
+    /// Closes the connection if no request would be lost by it.
+    void close_if_idle();
+    /// Whether close_if_idle() would close it.
+    [[nodiscard]] bool is_idle() const
+    {
+        return phase_ == phase::idle || phase_ == phase::head ||
+               phase_ == phase::lingering;
+    }
+    /// Time of the last change of phase.
+    [[nodiscard]] instant phase_since() const { return phase_since_; }
+
     [[nodiscard]] bool is_busy() const { return phase_ == phase::busy; }
     /// Number of requests passed to the handler so far.
     [[nodiscard]] std::uint64_t request_number() const
@@ -56,11 +73,17 @@
     };
 
     void read_input();
+    void process_input();
+    /// Whether the body may be read now.
+    bool admit_body();
+    void continue_body();
+    void give_up_buffers();
+    void update_account();
     void handle_input_end();
     void handle_timeout();
     void handle_drained();
     void start_request();
-    void reject(const parse_error& error);
+    void reject(parse_error error);
     void enter_phase(phase next, duration timeout);
     void read_next_request();
     void linger();
@@ -76,6 +99,11 @@
     bool keep_alive_ = true;
     bool head_request_ = false;
     bool continue_sent_ = false;
+    std::optional<buffer_account> account_;
+    instant phase_since_{};
+    /// Memory of the request in flight.
+    std::size_t request_bytes_ = 0;
+    bool body_admitted_ = false;
     std::size_t discarded_bytes_ = 0;
     std::uint64_t request_number_ = 0;
 };
--- a/libs/http/include/dandelioncrank/http/tcp_socket.hpp
+++ b/libs/http/include/dandelioncrank/http/tcp_socket.hpp
@@ -32,11 +32,13 @@
     void connect_to(const host_port& address);
 
     /// Queues bytes and immediately sends what the kernel accepts.
-    void write(const std::string& bytes);
+    void write(std::string bytes);
     /// Shuts down the sending direction once all queued bytes are sent.
     void shutdown_write();
     /// Pauses or resumes reading; unread bytes stay in the kernel buffer.
     void set_reading(bool enabled);
+    /// Bounds the bytes that are appended to input() at a time.
+    void set_read_size(std::size_t bytes) { read_size_ = bytes; }
     void close();
 
     [[nodiscard]] bool is_open() const { return descriptor_ >= 0; }
@@ -44,7 +46,17 @@
     [[nodiscard]] bool input_ended() const { return input_ended_; }
     /// Whether the peer's host has refused the connection.
     [[nodiscard]] bool was_refused() const { return refused_; }
-    [[nodiscard]] std::size_t unsent_bytes() const { return output_.size(); }
+    [[nodiscard]] std::size_t unsent_bytes() const
+    {
+        return output_.size() - output_sent_;
+    }
+    /// Memory held for input and output.
+    [[nodiscard]] std::size_t buffered_bytes() const
+    {
+        return input_.capacity() + output_.capacity();
+    }
+    /// Frees what an empty input buffer still holds.
+    void release_input();
     /// Total number of bytes accepted by the kernel.
     [[nodiscard]] std::uint64_t sent_bytes() const { return sent_bytes_; }
     /// True if the peer has closed the connection or sent unsolicited bytes.
@@ -77,8 +89,11 @@
     bool input_ended_ = false;
     bool shutdown_requested_ = false;
     std::uint64_t sent_bytes_ = 0;
+    std::size_t read_size_ = 64 * 1024;
     std::string input_;
     std::string output_;
+    /// Bytes at the front of the output that were sent.
+    std::size_t output_sent_ = 0;
     std::unique_ptr<QSocketNotifier> read_notifier_;
     std::unique_ptr<QSocketNotifier> write_notifier_;
 };
--- /dev/null
+++ b/libs/http/src/buffer_metrics.cpp
@@ -0,0 +1,44 @@
+#include "dandelioncrank/http/buffer_metrics.hpp"
+
+namespace dandelioncrank {
+
+namespace {
+
+void set_counter(metric_registry& metrics, const std::string& name,
+                 std::uint64_t value)
+{
+    metrics.count(name, value - metrics.counter(name));
+}
+
+} // namespace
+
+void update_buffer_metrics(const std::vector<const buffer_budget*>& budgets,
+                           metric_registry& metrics)
+{
+    std::size_t used = 0;
+    std::size_t limit = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t closed_idle = 0;
+    std::uint64_t closed_for_memory = 0;
+    std::uint64_t refused_for_memory = 0;
+    std::uint64_t refused_for_size = 0;
+    for (const buffer_budget* budget : budgets) {
+        used += budget->used_bytes();
+        limit += budget->limit_bytes();
+        refused += budget->connections_refused_;
+        closed_idle += budget->connections_closed_idle_;
+        closed_for_memory += budget->connections_closed_for_memory_;
+        refused_for_memory += budget->requests_refused_for_memory_;
+        refused_for_size += budget->requests_refused_for_size_;
+    }
+    metrics.set_gauge("http_buffered_bytes", static_cast<double>(used));
+    metrics.set_gauge("http_buffer_limit_bytes", static_cast<double>(limit));
+    set_counter(metrics, "http_connections_refused", refused);
+    set_counter(metrics, "connections_closed_idle", closed_idle);
+    set_counter(metrics, "connections_closed_for_memory", closed_for_memory);
+    set_counter(metrics, "http_requests_refused_for_memory",
+                refused_for_memory);
+    set_counter(metrics, "http_requests_refused_for_size", refused_for_size);
+}
+
+} // namespace dandelioncrank
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -2,6 +2,10 @@
 
 #include <QPointer>
 
+#include <algorithm>
+#include <vector>
+
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace dandelioncrank {
@@ -10,6 +14,20 @@
 
 // Time for handshakes that have begun to complete.
 constexpr duration handshake_time = std::chrono::milliseconds(200);
+constexpr auto stall_check_interval = std::chrono::milliseconds(500);
+// One of so many idle connections is closed when there are too many.
+constexpr std::size_t idle_share_divisor = 64;
+
+// Unread input and unsent output are memory of the machine, too; the kernel's
+// own limit is some megabytes for a connection.
+void limit_socket_buffers(int descriptor, std::size_t bytes)
+{
+    if (bytes == 0)
+        return;
+    int size = static_cast<int>(bytes);
+    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+    ::setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
+}
 
 } // namespace
 
@@ -47,14 +65,54 @@
         budget_->opened();
 }
 
+void http_server::set_buffer_budget(buffer_budget& budget)
+{
+    buffers_ = &budget;
+    QObject::connect(&stall_timer_, &QTimer::timeout,
+                     [this] { buffers_->reclaim_stalled(steady_now()); });
+    stall_timer_.start(stall_check_interval);
+}
+
+bool http_server::is_full() const
+{
+    return connections_.size() >= limits_.connections_ ||
+           (budget_ != nullptr && budget_->is_exhausted());
+}
+
+// Clients that only hold connections must not keep out new callers. Some are
+// closed at a time, so that a flood does not cost a search for each connection.
+void http_server::close_longest_idle()
+{
+    std::vector<server_connection*> idle;
+    for (const auto& item : connections_) {
+        if (item.first->is_idle())
+            idle.push_back(item.first);
+    }
+    std::size_t count =
+        std::min(idle.size(), 1 + idle.size() / idle_share_divisor);
+    std::partial_sort(idle.begin(),
+                      idle.begin() + static_cast<std::ptrdiff_t>(count),
+                      idle.end(), [](const auto* left, const auto* right) {
+                          return left->phase_since() < right->phase_since();
+                      });
+    idle.resize(count);
+    for (server_connection* connection : idle)
+        connection->close_if_idle();
+    if (buffers_ != nullptr)
+        buffers_->connections_closed_idle_ += count;
+}
+
 void http_server::accept(int descriptor)
 {
-    bool is_full = connections_.size() >= limits_.connections_ ||
-                   (budget_ != nullptr && budget_->is_exhausted());
-    if (is_full) {
+    if (is_full())
+        close_longest_idle();
+    if (is_full()) {
+        if (buffers_ != nullptr)
+            ++buffers_->connections_refused_;
         ::close(descriptor);
         return;
     }
+    limit_socket_buffers(descriptor, limits_.socket_buffer_bytes_);
     auto connection = std::make_unique<server_connection>(
         descriptor, limits_,
         [this](server_connection& source, http_request request) {
@@ -63,6 +121,8 @@
     server_connection* key = connection.get();
     connection->on_finished_ = [this, key] { remove(key); };
     connection->on_error_response_ = on_error_response_;
+    if (buffers_ != nullptr)
+        connection->set_buffer_budget(*buffers_);
     if (stopping_)
         connection->close_after_response();
     connections_.emplace(key, std::move(connection));
--- a/libs/http/src/message_parser.cpp
+++ b/libs/http/src/message_parser.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cctype>
 #include <limits>
+#include <optional>
 #include <sstream>
 #include <variant>
 
@@ -20,6 +21,9 @@
 namespace http = boost::beast::http;
 
 constexpr std::string_view header_terminator = "\r\n\r\n";
+// Bytes of a chunk that are neither data nor counted against the header limit:
+// up to eight digits of size and two line ends. Bodies in small chunks pass.
+constexpr std::size_t chunk_framing_bytes = 12;
 
 bool starts_with_name(std::string_view line, std::string_view name)
 {
@@ -29,9 +33,10 @@
                           beast::string_view(name.data(), name.size()));
 }
 
-bool has_bare_line_feed(std::string_view bytes)
+/// Looks at the line feeds from the given position on.
+bool has_bare_line_feed(std::string_view bytes, std::size_t from)
 {
-    for (auto position = bytes.find('\n'); position != bytes.npos;
+    for (auto position = bytes.find('\n', from); position != bytes.npos;
          position = bytes.find('\n', position + 1)) {
         if (position == 0 || bytes[position - 1] != '\r')
             return true;
@@ -148,6 +153,9 @@
     void reset_parser()
     {
         head_complete_ = false;
+        head_bytes_ = 0;
+        scanned_bytes_ = 0;
+        framing_bytes_ = 0;
         if (kind_ == kind::request)
             configure(parser_.emplace<beast_parser<true>>());
         else
@@ -188,9 +196,37 @@
                               "100-continue");
     }
 
+    [[nodiscard]] std::size_t body_bytes() const
+    {
+        return std::visit(
+            [](const auto& parser) -> std::size_t {
+                using parser_type = std::decay_t<decltype(parser)>;
+                if constexpr (std::is_same_v<parser_type, std::monostate>)
+                    return 0;
+                else
+                    return parser.get().body().size();
+            },
+            parser_);
+    }
+
+    [[nodiscard]] std::optional<std::size_t> announced_body_bytes() const
+    {
+        return std::visit(
+            [](const auto& parser) -> std::optional<std::size_t> {
+                using parser_type = std::decay_t<decltype(parser)>;
+                if constexpr (!std::is_same_v<parser_type, std::monostate>) {
+                    if (auto length = parser.content_length())
+                        return static_cast<std::size_t>(*length);
+                }
+                return std::nullopt;
+            },
+            parser_);
+    }
+
     kind kind_;
     http_limits limits_;
     bool head_complete_ = false;
+    std::size_t head_bytes_ = 0;
     parse_state state_ = parse_state::incomplete;
     parse_error error_;
 
@@ -202,7 +238,8 @@
         parser.header_limit(static_cast<std::uint32_t>(
             std::min<std::size_t>(limits_.header_bytes_, max_header_limit)));
         parser.body_limit(limits_.body_bytes_);
-        parser.eager(true);
+        // One element at a time, so that the framing of each chunk is counted.
+        parser.eager(false);
     }
 
     void reject(parse_error error)
@@ -215,16 +252,21 @@
     bool take_head(std::string& buffer)
     {
         std::string_view bytes = buffer;
-        auto end = bytes.find(header_terminator);
+        // What was scanned before is not scanned again, but for a terminator
+        // that arrives in parts.
+        std::size_t from =
+            scanned_bytes_ - std::min(scanned_bytes_, header_terminator.size());
+        auto end = bytes.find(header_terminator, from);
         std::string_view head = bytes.substr(0, end);
         if (head.size() > limits_.header_bytes_) {
             reject({431, "the header is too large"});
             return false;
         }
-        if (has_bare_line_feed(head)) {
+        if (has_bare_line_feed(head, std::min(from, head.size()))) {
             reject({400, "a line ends without a carriage return"});
             return false;
         }
+        scanned_bytes_ = bytes.size();
         if (end == bytes.npos)
             return false;
         head = bytes.substr(0, end + header_terminator.size());
@@ -232,7 +274,10 @@
             reject(*error);
             return false;
         }
-        return feed_parser(buffer, head.size()) && check_parsed_head(buffer);
+        head_bytes_ = head.size();
+        auto consumed = feed_parser(head);
+        buffer.erase(0, consumed.value_or(0));
+        return consumed && check_parsed_head(buffer);
     }
 
     bool check_parsed_head(std::string& buffer)
@@ -273,16 +318,33 @@
 
     void take_body(std::string& buffer)
     {
-        while (state_ == parse_state::incomplete && !buffer.empty()) {
-            std::size_t size_before = buffer.size();
-            if (!feed_parser(buffer, size_before) ||
-                buffer.size() == size_before)
-                return;
+        std::string_view rest = buffer;
+        while (state_ == parse_state::incomplete && !rest.empty()) {
+            std::size_t body_before = body_bytes();
+            auto consumed = feed_parser(rest);
+            if (!consumed || *consumed == 0)
+                break;
+            rest.remove_prefix(*consumed);
+            std::size_t framing = *consumed - (body_bytes() - body_before);
+            framing_bytes_ += framing - std::min(framing, chunk_framing_bytes);
+            check_framing(0);
         }
+        // Beast consumes a chunk line, and all trailers, only as a whole. They
+        // would be buffered and scanned again and again until then.
+        if (state_ == parse_state::incomplete)
+            check_framing(rest.size());
+        buffer.erase(0, buffer.size() - rest.size());
     }
 
-    // Passes the first size bytes to Beast and removes what it consumed.
-    bool feed_parser(std::string& buffer, std::size_t size)
+    void check_framing(std::size_t unconsumed_bytes)
+    {
+        unconsumed_bytes -= std::min(unconsumed_bytes, chunk_framing_bytes);
+        if (framing_bytes_ + unconsumed_bytes > limits_.header_bytes_)
+            reject({431, "the chunk lines and trailers are too large"});
+    }
+
+    // Passes the bytes to Beast and returns how many of them it consumed.
+    std::optional<std::size_t> feed_parser(std::string_view bytes)
     {
         beast::error_code error;
         std::size_t consumed = 0;
@@ -292,21 +354,24 @@
                 using parser_type = std::decay_t<decltype(parser)>;
                 if constexpr (!std::is_same_v<parser_type, std::monostate>) {
                     consumed = parser.put(
-                        boost::asio::buffer(buffer.data(), size), error);
+                        boost::asio::buffer(bytes.data(), bytes.size()), error);
                     done = parser.is_done();
                 }
             },
             parser_);
-        buffer.erase(0, consumed);
         if (error && error != http::error::need_more) {
             reject(to_parse_error(error));
-            return false;
+            return std::nullopt;
         }
         if (done)
             state_ = parse_state::complete;
-        return true;
+        return consumed;
     }
 
+    /// Bytes of an incomplete header that were scanned for its end.
+    std::size_t scanned_bytes_ = 0;
+    /// Bytes of chunk lines and trailers beyond the ordinary framing.
+    std::size_t framing_bytes_ = 0;
     std::variant<std::monostate, beast_parser<true>, beast_parser<false>>
         parser_;
 };
@@ -340,6 +405,21 @@
     return implementation_->expects_continue();
 }
 
+std::size_t message_parser::buffered_bytes() const
+{
+    return implementation_->head_bytes_ + implementation_->body_bytes();
+}
+
+std::size_t message_parser::body_bytes() const
+{
+    return implementation_->body_bytes();
+}
+
+std::optional<std::size_t> message_parser::announced_body_bytes() const
+{
+    return implementation_->announced_body_bytes();
+}
+
 const parse_error& message_parser::error() const
 {
     return implementation_->error_;
--- a/libs/http/src/tcp_socket.cpp
+++ b/libs/http/src/tcp_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <QPointer>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr std::size_t read_chunk_bytes = 64 * 1024;
+// Capacity that an empty buffer keeps for the next message.
+constexpr std::size_t kept_capacity_bytes = 4 * 1024;
 
 void set_no_delay(int descriptor)
 {
@@ -90,19 +93,28 @@
                      [this] { handle_writable(); });
 }
 
-void tcp_socket::write(const std::string& bytes)
+void tcp_socket::write(std::string bytes)
 {
     if (!is_open())
         return;
-    output_ += bytes;
+    if (output_.empty())
+        output_ = std::move(bytes);
+    else
+        output_ += bytes;
     if (connected_)
         flush();
 }
 
+void tcp_socket::release_input()
+{
+    if (input_.empty() && input_.capacity() > kept_capacity_bytes)
+        input_.shrink_to_fit();
+}
+
 void tcp_socket::shutdown_write()
 {
     shutdown_requested_ = true;
-    if (is_open() && connected_ && output_.empty())
+    if (is_open() && connected_ && unsent_bytes() == 0)
         ::shutdown(descriptor_, SHUT_WR);
 }
 
@@ -127,6 +139,9 @@
         ::close(descriptor_);
     descriptor_ = -1;
     connected_ = false;
+    // The owner may live on for a while.
+    std::string().swap(output_);
+    output_sent_ = 0;
 }
 
 bool tcp_socket::is_stale() const
@@ -143,7 +158,8 @@
     if (!is_open())
         return;
     std::array<char, read_chunk_bytes> chunk;
-    auto received = ::recv(descriptor_, chunk.data(), chunk.size(), 0);
+    auto received = ::recv(descriptor_, chunk.data(),
+                           std::min(chunk.size(), read_size_), 0);
     if (received < 0) {
         if (!would_block(errno) && errno != EINTR)
             fail(std::strerror(errno));
@@ -189,15 +205,15 @@
     QPointer<tcp_socket> self(this);
     if (on_connected_)
         on_connected_();
-    if (self && is_open() && !output_.empty())
+    if (self && is_open() && unsent_bytes() > 0)
         flush();
 }
 
 bool tcp_socket::flush()
 {
-    while (!output_.empty()) {
-        auto sent =
-            ::send(descriptor_, output_.data(), output_.size(), MSG_NOSIGNAL);
+    while (unsent_bytes() > 0) {
+        auto sent = ::send(descriptor_, output_.data() + output_sent_,
+                           unsent_bytes(), MSG_NOSIGNAL);
         if (sent < 0 && errno == EINTR)
             continue;
         if (sent < 0 && would_block(errno)) {
@@ -209,8 +225,12 @@
             return false;
         }
         sent_bytes_ += static_cast<std::uint64_t>(sent);
-        output_.erase(0, static_cast<std::size_t>(sent));
+        output_sent_ += static_cast<std::size_t>(sent);
     }
+    output_.clear();
+    output_sent_ = 0;
+    if (output_.capacity() > kept_capacity_bytes)
+        output_.shrink_to_fit();
     write_notifier_->setEnabled(false);
     if (shutdown_requested_)
         ::shutdown(descriptor_, SHUT_WR);
--- a/libs/http/test/message_parser_test.cpp
+++ b/libs/http/test/message_parser_test.cpp
@@ -153,3 +153,71 @@
     no_content.status_ = 204;
     CHECK(to_bytes(no_content).find("Content-Length") == std::string::npos);
 }
+
+// Regression: Beast asks for more input until a chunk line or all trailers are
+// complete, so an endless one was buffered and scanned without a bound.
+TEST_CASE("chunk lines and trailers are bounded", "[parser]")
+{
+    http_limits limits;
+    limits.header_bytes_ = 1024;
+    const std::string chunked =
+        request_start + "Transfer-Encoding: chunked\r\n\r\n";
+    auto first_rejection = [&](const std::string& start,
+                               const std::string& repeated) {
+        message_parser parser(message_parser::kind::request, limits);
+        std::string buffer = chunked + start;
+        std::size_t fed = 0;
+        while (parser.feed(buffer) == parse_state::incomplete &&
+               fed < 100 * limits.header_bytes_) {
+            buffer += repeated;
+            fed += repeated.size();
+        }
+        CHECK(parser.state() == parse_state::rejected);
+        CHECK(parser.error().status_ == 431);
+        return fed;
+    };
+    std::size_t most = limits.header_bytes_ + 100;
+    CHECK(first_rejection("0\r\n", "X-Trailer: value\r\n") < most);
+    CHECK(first_rejection("1;name=", "value") < most);
+    CHECK(first_rejection("", "0") < most);
+    // Many extensions add up, each of them short.
+    CHECK(first_rejection("", "1;some=extension-of-a-chunk\r\na\r\n") <
+          3 * limits.header_bytes_);
+}
+
+TEST_CASE("a body in many small chunks is accepted", "[parser]")
+{
+    http_limits limits;
+    limits.header_bytes_ = 1024;
+    constexpr int chunks = 5000;
+    std::string bytes = request_start + "Transfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < chunks; ++i)
+        bytes += "1\r\na\r\n";
+    bytes += "0\r\nX-Trailer: value\r\n\r\n";
+    message_parser parser(message_parser::kind::request, limits);
+    CHECK(parser.feed(bytes) == parse_state::complete);
+    CHECK(parser.take_request().body_.size() == chunks);
+    CHECK(bytes.empty());
+}
+
+TEST_CASE("the state does not depend on how the bytes are split", "[parser]")
+{
+    http_limits limits;
+    limits.header_bytes_ = 100;
+    std::string bytes = "POST /a HTTP/1.1\r\nHost: x\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n";
+    // The extensions reach the limit exactly; small chunks follow.
+    for (int i = 0; i < 10; ++i)
+        bytes += "1;" + std::string(15, 'n') + "\r\na\r\n";
+    for (int i = 0; i < 10; ++i)
+        bytes += "1\r\na\r\n";
+    bytes += "0\r\n\r\n";
+    for (std::size_t split = 0; split <= bytes.size(); ++split) {
+        message_parser parser(message_parser::kind::request, limits);
+        std::string buffer = bytes.substr(0, split);
+        parser.feed(buffer);
+        buffer += bytes.substr(split);
+        INFO(split);
+        CHECK(parser.feed(buffer) == parse_state::complete);
+    }
+}
