Take no memory for a body before it arrives

Cause: Beast's string_body reserves the announced length at the header. With 400 connections that announced 256 KiB and waited, the freed heap was spread over all of them: the control host took 118 MB (slow_bodies, control metrics).

Change: lazy_string_body reserves the length when more than 32 KiB arrive, that is, once the connection may read its body.

--- a/libs/control/include/dandelioncrank/control/control_settings.hpp
+++ b/libs/control/include/dandelioncrank/control/control_settings.hpp
@@ -48,6 +48,9 @@
     /// Limit of the memory for the replicated state; see state_weight.hpp.
     std::uint64_t weight_limit_ = pool::default_weight_limit;
     http_limits limits_;
+    /// Bytes that all connections of clients, workers and operators may buffer
+    /// together.
+    std::size_t buffer_bytes_ = 48 * 1024 * 1024;
     log_level log_level_ = log_level::info;
 
     [[nodiscard]] bool is_entry() const { return client_address_.port_ != 0; }
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -1,5 +1,7 @@
 #include "dandelioncrank/control/control_settings.hpp"
 
+#include "dandelioncrank/http/memory_share.hpp"
+
 #include <absl/flags/flag.h>
 #include <absl/strings/str_split.h>
 #include <absl/time/time.h>
@@ -41,6 +43,9 @@
 ABSL_FLAG(absl::Duration, announce_interval, absl::Milliseconds(1500),
           "interval between announcements of a worker");
 ABSL_FLAG(int, body_kib, 1024, "maximum size of a request body, in KiB");
+ABSL_FLAG(int, memory_mib, 0,
+          "memory of this process's machine, in MiB; an eighth of it is for "
+          "buffers of connections. 0 for the memory that the system reports");
 ABSL_FLAG(int, state_mib, dandelioncrank::pool::default_weight_limit >> 20,
           "memory for the state and its copies, in MiB; new jobs are refused "
           "above it");
@@ -88,6 +93,7 @@
              "announce_interval",
              "body_kib",
              "state_mib",
+             "memory_mib",
              "log_level"}};
 }
 
@@ -212,6 +218,13 @@
                    std::to_string(state_mib) + " is out of range",
                    "use 1 to 1048576");
     settings.weight_limit_ = static_cast<std::uint64_t>(state_mib) << 20;
+    int memory_mib = absl::GetFlag(FLAGS_memory_mib);
+    if (memory_mib < 0 || memory_mib > 1024 * 1024)
+        faults.add({"--memory_mib"},
+                   std::to_string(memory_mib) + " is out of range",
+                   "use 0 to 1048576");
+    settings.buffer_bytes_ =
+        buffer_bytes_of(static_cast<std::size_t>(std::max(0, memory_mib)));
     settings.descriptors_ = absl::GetFlag(FLAGS_descriptors);
     if (settings.descriptors_ < 64)
         faults.add({"--descriptors"},
--- a/libs/http/src/message_parser.cpp
+++ b/libs/http/src/message_parser.cpp
@@ -2,6 +2,7 @@
 #include "dandelioncrank/http/message_parser.hpp"
 
 #include "dandelioncrank/core/overloaded.hpp"
+#include "lazy_string_body.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -81,7 +82,7 @@
 }
 
 template <bool IsRequest>
-using beast_parser = http::parser<IsRequest, http::string_body>;
+using beast_parser = http::parser<IsRequest, lazy_string_body>;
 
 template <class Message>
 void copy_fields(const Message& message, header_list& headers)
