Bound the own interface's buffers and its operator address

Cause: the gateway and the control address had no bound on all buffers, and QHttpServer on the operator address none at all (287 MB with an endless header).

--- a/libs/gateway/include/dandelioncrank/gateway/gateway.hpp
+++ b/libs/gateway/include/dandelioncrank/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #include "dandelioncrank/gateway/gateway_hooks.hpp"
 #include "dandelioncrank/gateway/gateway_options.hpp"
 #include "dandelioncrank/gateway/routing_table.hpp"
+#include "dandelioncrank/http/buffer_budget.hpp"
 
 #include <memory>
 #include <vector>
@@ -29,6 +30,8 @@
     void stop_accepting();
     [[nodiscard]] std::size_t in_flight() const;
     [[nodiscard]] int port() const { return port_; }
+    /// The buffers of each loop.
+    [[nodiscard]] std::vector<const buffer_budget*> buffers() const;
 
   private:
     class worker_thread;
--- a/libs/gateway/include/dandelioncrank/gateway/gateway_options.hpp
+++ b/libs/gateway/include/dandelioncrank/gateway/gateway_options.hpp
@@ -13,6 +13,8 @@
     /// Number of entry hosts that may open connections to one endpoint.
     int sharing_hosts_ = 1;
     http_limits limits_;
+    /// Bytes that the callers' connections of one loop may buffer together.
+    std::size_t buffer_bytes_ = 16 * 1024 * 1024;
     /// Makes request ids unique across restarts of the daemon.
     std::uint64_t incarnation_ = 0;
 };
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -40,6 +40,10 @@
     }
 
     [[nodiscard]] std::size_t in_flight() const { return loop_->in_flight(); }
+    [[nodiscard]] const buffer_budget& buffers() const
+    {
+        return loop_->buffers();
+    }
 
   protected:
     void run() override
@@ -89,6 +93,14 @@
         thread->stop_accepting();
 }
 
+std::vector<const buffer_budget*> gateway::buffers() const
+{
+    std::vector<const buffer_budget*> result;
+    for (const auto& thread : threads_)
+        result.push_back(&thread->buffers());
+    return result;
+}
+
 std::size_t gateway::in_flight() const
 {
     std::size_t count = 0;
--- a/libs/gateway/src/gateway_loop.cpp
+++ b/libs/gateway/src/gateway_loop.cpp
@@ -36,13 +36,14 @@
                            const rcu_routing_table& table,
                            const gateway_hooks& hooks)
     : options_(options), number_(number), table_(table), hooks_(hooks),
-      pool_(endpoint_limits(options.limits_)),
+      pool_(endpoint_limits(options.limits_)), buffers_(options.buffer_bytes_),
       server_(options.address_, options.limits_,
               [this](http_request request,
                      const std::shared_ptr<responder>& reply) {
                   handle_request(std::move(request), reply);
               })
 {
+    server_.set_buffer_budget(buffers_);
     // Each loop of a host numbers its slot requests in a separate range.
     last_slot_request_number_ =
         options_.incarnation_ * 1'000'000'000'000ULL +
--- a/libs/gateway/src/gateway_loop.hpp
+++ b/libs/gateway/src/gateway_loop.hpp
@@ -29,6 +29,8 @@
     [[nodiscard]] mailbox& inbox() { return inbox_; }
     /// May be called from any thread.
     [[nodiscard]] std::size_t in_flight() const { return in_flight_; }
+    /// Its counters may be read from any thread.
+    [[nodiscard]] const buffer_budget& buffers() const { return buffers_; }
 
     void stop_accepting();
 
@@ -95,6 +97,7 @@
     rcu_reader reader_;
     mailbox inbox_;
     connection_pool pool_;
+    buffer_budget buffers_;
     http_server server_;
     std::map<std::uint64_t, std::unique_ptr<active_request>> active_requests_;
     std::uint64_t next_number_ = 0;
--- a/libs/node/include/dandelioncrank/node/node_settings.hpp
+++ b/libs/node/include/dandelioncrank/node/node_settings.hpp
@@ -43,6 +43,9 @@
     duration lease_ = std::chrono::seconds(10);
     duration stop_time_ = std::chrono::seconds(30);
     http_limits limits_;
+    /// Bytes that all connections of callers, workers and operators may buffer
+    /// together.
+    std::size_t buffer_bytes_ = 48 * 1024 * 1024;
     log_level log_level_ = log_level::info;
     std::string operator_token_;
     std::string worker_token_;
--- a/libs/node/src/daemon_node.cpp
+++ b/libs/node/src/daemon_node.cpp
@@ -5,7 +5,9 @@
 #include "dandelioncrank/core/mailbox.hpp"
 #include "dandelioncrank/core/overloaded.hpp"
 #include "dandelioncrank/gateway/gateway.hpp"
+#include "dandelioncrank/http/buffer_metrics.hpp"
 #include "dandelioncrank/http/http_server.hpp"
+#include "dandelioncrank/http/memory_share.hpp"
 #include "dandelioncrank/metrics/metric_registry.hpp"
 #include "dandelioncrank/peer/peer_server.hpp"
 #include "json_conversion.hpp"
@@ -16,9 +18,6 @@
 #include "state_replica.hpp"
 #include "zone_service.hpp"
 
-#include <QHostAddress>
-#include <QHttpServer>
-#include <QHttpServerResponse>
 #include <QTimer>
 
 namespace dandelioncrank {
@@ -29,6 +28,8 @@
 
 constexpr auto tick_interval = 10ms;
 constexpr std::size_t max_stored_outcomes = 100000;
+// Connections to the operator address.
+constexpr std::size_t operator_connections = 64;
 // Maximum wait at startup for messages from the other hosts of the zone.
 constexpr duration startup_peer_timeout = 3s;
 constexpr duration peer_response_timeout = 1s;
@@ -70,6 +71,17 @@
     return self;
 }
 
+/// The buffers are divided among the event loops: those of the gateway, and
+/// the one of everything else.
+std::size_t buffers_of_loop(const node_settings& settings)
+{
+    std::size_t loops = 1;
+    if (settings.is_gateway_)
+        loops += static_cast<std::size_t>(settings.loops_);
+    return part_of_buffers(settings.buffer_bytes_ / loops, 100,
+                           settings.limits_.body_bytes_);
+}
+
 } // namespace
 
 class daemon_node::implementation
@@ -112,6 +124,7 @@
     void count_request(const request_metrics& request_stats);
 
     void start_operator_server();
+    [[nodiscard]] http_response operator_response(const http_request& request);
     void tick();
     void wait_for_drain(instant deadline);
 
@@ -130,7 +143,9 @@
     zone_service zone_;
     control_api api_;
     rcu_routing_table table_;
-    QHttpServer operator_server_;
+    /// Of the connections to the control and the operator address.
+    buffer_budget buffers_;
+    std::unique_ptr<http_server> operator_server_;
     std::unique_ptr<peer_server> peer_server_;
     std::unique_ptr<http_server> control_server_;
     std::unique_ptr<gateway> gateway_;
@@ -160,7 +175,7 @@
                gossip_.announce(info, sequence, steady_now(), out);
                apply_actions(out);
            }),
-      started_at_(steady_now())
+      buffers_(buffers_of_loop(settings_)), started_at_(steady_now())
 {
     config_.on_change_ = [this] { config_changed(); };
     zone_.on_ownership_change_ = [this] { update_self(); };
@@ -182,6 +197,7 @@
                 (*reply)(std::move(response));
             });
         });
+    control_server_->set_buffer_budget(buffers_);
     if (settings_.is_gateway_) {
         gateway_options options;
         options.host_ = settings_.host_;
@@ -189,6 +205,7 @@
         options.loops_ = settings_.loops_;
         options.sharing_hosts_ = static_cast<int>(settings_.hosts_.size());
         options.limits_ = settings_.limits_;
+        options.buffer_bytes_ = buffers_of_loop(settings_);
         options.incarnation_ = incarnation_;
         gateway_ = std::make_unique<gateway>(options, table_, make_hooks());
     }
@@ -565,24 +582,40 @@
 
 void daemon_node::implementation::start_operator_server()
 {
-    operator_server_.route("/state", [this] {
+    http_limits limits = settings_.limits_;
+    limits.connections_ = std::min(limits.connections_, operator_connections);
+    operator_server_ = std::make_unique<http_server>(
+        settings_.operator_address_, limits,
+        [this](const http_request& request,
+               const std::shared_ptr<responder>& reply) {
+            (*reply)(operator_response(request));
+        });
+    operator_server_->set_buffer_budget(buffers_);
+}
+
+http_response
+daemon_node::implementation::operator_response(const http_request& request)
+{
+    std::string path = request.target_.substr(0, request.target_.find('?'));
+    if (request.method_ != "GET" && request.method_ != "HEAD")
+        return json_response(404, "{}");
+    if (path == "/state") {
         dump_sources sources{settings_, gossip_,      config_, slots_,
                              zone_,     voter_.get(), peers_};
-        return QHttpServerResponse(
-            "application/json", QByteArray::fromStdString(
-                                    serialize_json(make_state_dump(sources))));
-    });
-    operator_server_.route("/metrics", [this] {
-        return QHttpServerResponse(
-            "text/plain; version=0.0.4",
-            QByteArray::fromStdString(metrics_.to_text()));
-    });
-    const host_port& address = settings_.operator_address_;
-    auto port = operator_server_.listen(QHostAddress(to_qt(address.host_)),
-                                        static_cast<quint16>(address.port_));
-    if (port == 0)
-        throw std::system_error(std::make_error_code(std::errc::address_in_use),
-                                "listen on " + address.to_text());
+        return json_response(200, serialize_json(make_state_dump(sources)));
+    }
+    if (path != "/metrics")
+        return json_response(404, "{}");
+    std::vector<const buffer_budget*> budgets{&buffers_};
+    if (gateway_) {
+        for (const buffer_budget* budget : gateway_->buffers())
+            budgets.push_back(budget);
+    }
+    update_buffer_metrics(budgets, metrics_);
+    http_response response;
+    response.headers_.set("Content-Type", "text/plain; version=0.0.4");
+    response.body_ = metrics_.to_text();
+    return response;
 }
 
 void daemon_node::implementation::tick()
--- a/libs/node/src/node_settings.cpp
+++ b/libs/node/src/node_settings.cpp
@@ -1,5 +1,7 @@
 #include "dandelioncrank/node/node_settings.hpp"
 
+#include "dandelioncrank/http/memory_share.hpp"
+
 #include <absl/flags/flag.h>
 #include <absl/strings/str_split.h>
 #include <absl/time/time.h>
@@ -40,6 +42,9 @@
           "timeout after which an idle caller connection is closed");
 ABSL_FLAG(int, connections, 10000,
           "maximum open caller connections per thread");
+ABSL_FLAG(int, memory_mib, 0,
+          "memory of this process's machine, in MiB; an eighth of it is for "
+          "buffers of connections. 0 for the memory that the system reports");
 ABSL_FLAG(std::string, log_level, "info",
           "minimum level logged: debug, info, warning, error");
 ABSL_FLAG(std::string, operator_token, "",
@@ -90,6 +95,7 @@
              "body_time",
              "idle_time",
              "connections",
+             "memory_mib",
              "log_level",
              "operator_token",
              "worker_token"}};
@@ -254,6 +260,9 @@
                      absl::Milliseconds(10), absl::Hours(24));
         limits.connections_ = static_cast<std::size_t>(in_range(
             "--connections", absl::GetFlag(FLAGS_connections), 1, 1000000));
+        settings_.buffer_bytes_ = buffer_bytes_of(static_cast<std::size_t>(
+            in_range("--memory_mib", absl::GetFlag(FLAGS_memory_mib), 0,
+                     1024 * 1024)));
         read_log_level();
     }
 
--- a/libs/node/test/settings_test.cpp
+++ b/libs/node/test/settings_test.cpp
@@ -50,3 +50,13 @@
     CHECK(result.help_requested_);
     CHECK(result.help_.find("DANDELIONCRANK_DATA_DIR") != std::string::npos);
 }
+
+// Guards against a daemon on a small machine that buffers as on a large one.
+TEST_CASE("the buffers follow from the memory", "[node_settings]")
+{
+    auto result = read({"--host=a", "--zone=z", "--memory_mib=120"});
+    CHECK(result.settings_.buffer_bytes_ == 15 * 1024 * 1024);
+    result = read({"--host=a", "--zone=z", "--memory_mib=-1"});
+    CHECK(result.faults_.to_text().find("--memory_mib: -1 is out of range") !=
+          std::string::npos);
+}
