--- a/libs/pool/src/progress_monitor.cpp
+++ b/libs/pool/src/progress_monitor.cpp
@@ -239,10 +239,10 @@
             result.has_siblings_ = true;
             result.basis_ = "other runs of the step";
         } else {
-            duration expected =
-                estimates.run_time_of(*first.job_, *first.spec_);
-            result.due_ = scale(expected, slowdown / 100);
-            result.basis_ = "a run time of " + in_ms(expected);
+            result.due_ = expected_percent(item, estimates);
+            result.basis_ =
+                "a run time of " +
+                in_ms(estimates.run_time_of(*first.job_, *first.spec_));
         }
         if (slowdown != 1)
             result.basis_ += ", on workers that take " +
