Bound the incomplete messages of a connection between daemons

Cause: each message was bounded by 64 MiB, all that one connection begins and never ends together were not: 335 MB sent in 40 streams raised the peak memory of dandelioncrankd to 349 MB.

Change: a stream is refused when the incomplete messages of its connection exceed 128 MiB.

--- a/libs/peer/src/http2_session.cpp
+++ b/libs/peer/src/http2_session.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::uint32_t max_concurrent_streams = 4096;
 constexpr std::int32_t window_bytes = 16 * 1024 * 1024;
+// Of all incomplete messages of a connection: a snapshot, and what is sent
+// beside it.
+constexpr qsizetype max_incomplete_bytes = 2 * max_message_bytes;
 
 nghttp2_nv header(const char* name, const char* value)
 {
@@ -54,15 +57,18 @@
                        std::int32_t stream, const std::uint8_t* bytes,
                        std::size_t size, void* user)
     {
-        stream_state& state = self(user).streams_[stream];
+        http2_session& owner = self(user);
+        stream_state& state = owner.streams_[stream];
         auto length = static_cast<qsizetype>(size);
-        if (state.receive_buffer_.size() + length > max_message_bytes) {
+        if (state.receive_buffer_.size() + length > max_message_bytes ||
+            owner.incomplete_bytes_ + length > max_incomplete_bytes) {
             nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, stream,
                                       NGHTTP2_REFUSED_STREAM);
             return 0;
         }
         state.receive_buffer_.append(reinterpret_cast<const char*>(bytes),
                                      length);
+        owner.incomplete_bytes_ += length;
         return 0;
     }
 
@@ -77,7 +83,9 @@
         http2_session& session = self(user);
         stream_state& state = session.streams_[frame->hd.stream_id];
         state.is_delivered_ = true;
+        session.incomplete_bytes_ -= state.receive_buffer_.size();
         QByteArray body = std::move(state.receive_buffer_);
+        state.receive_buffer_ = {};
         bool is_ok = state.is_ok_;
         if (session.on_message_)
             session.on_message_(frame->hd.stream_id, is_ok, std::move(body));
@@ -92,6 +100,8 @@
         bool failed =
             session.side_ == side::client &&
             (found == session.streams_.end() || !found->second.is_delivered_);
+        if (found != session.streams_.end())
+            session.incomplete_bytes_ -= found->second.receive_buffer_.size();
         session.streams_.erase(stream);
         if (failed && session.on_stream_failed_)
             session.on_stream_failed_(stream);
--- a/libs/peer/src/http2_session.hpp
+++ b/libs/peer/src/http2_session.hpp
@@ -68,6 +68,8 @@
     tcp_socket& socket_;
     nghttp2_session* session_ = nullptr;
     std::map<std::int32_t, stream_state> streams_;
+    /// Bytes received of messages that are not complete.
+    qsizetype incomplete_bytes_ = 0;
     bool is_flushing_ = false;
 };
 
