Let the kept outcomes follow from the memory

Cause: dandelioncrankd keeps 100,000 outcomes for callers, some 40 MB, and any caller can fill them: pipelined requests raised the peak memory to 50 MB, near the bound of 55, with 15 MB of buffers.

--- a/libs/node/src/daemon_node.cpp
+++ b/libs/node/src/daemon_node.cpp
@@ -7,10 +7,10 @@
 #include "dandelioncrank/gateway/gateway.hpp"
 #include "dandelioncrank/http/buffer_metrics.hpp"
 #include "dandelioncrank/http/http_server.hpp"
-#include "dandelioncrank/http/memory_share.hpp"
 #include "dandelioncrank/metrics/metric_registry.hpp"
 #include "dandelioncrank/peer/peer_server.hpp"
 #include "json_conversion.hpp"
+#include "memory_limits.hpp"
 #include "outcome_store.hpp"
 #include "slot_service.hpp"
 #include "state_client.hpp"
@@ -20,6 +20,8 @@
 
 #include <QTimer>
 
+#include <algorithm>
+
 namespace dandelioncrank {
 
 namespace {
@@ -27,7 +29,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto tick_interval = 10ms;
-constexpr std::size_t max_stored_outcomes = 100000;
 // Connections to the operator address.
 constexpr std::size_t operator_connections = 64;
 // Maximum wait at startup for messages from the other hosts of the zone.
@@ -71,17 +72,6 @@
     return self;
 }
 
-/// The buffers are divided among the event loops: those of the gateway, and
-/// the one of everything else.
-std::size_t buffers_of_loop(const node_settings& settings)
-{
-    std::size_t loops = 1;
-    if (settings.is_gateway_)
-        loops += static_cast<std::size_t>(settings.loops_);
-    return part_of_buffers(settings.buffer_bytes_ / loops, 100,
-                           settings.limits_.body_bytes_);
-}
-
 } // namespace
 
 class daemon_node::implementation
@@ -162,7 +152,7 @@
     : settings_(settings), incarnation_(make_incarnation()), peers_(settings_),
       gossip_(make_initial_status(settings_, incarnation_),
               names_of_other_hosts(settings_), gossip_timing{}),
-      outcomes_(max_stored_outcomes),
+      outcomes_(stored_outcomes_of(settings_)),
       voter_(settings_.is_voter_
                  ? std::make_unique<state_replica>(settings_, peers_)
                  : nullptr),
