Preempt the work whose loss costs least

How long a run still needs is estimated from its expected run time, corrected by its reported progress. An urgent unit waits for runs that are expected to end before a stop would help, of whichever priority they are. One gang that makes room for a whole unit is weighed against the cheapest victims task by task, and victims that turn out unnecessary are dropped.

--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -24,6 +24,8 @@
     bool is_stopping_ = false;
     /// Since when its worker is known to run it; nothing if it is not.
     std::optional<instant> running_since_ = std::nullopt;
+    /// When its worker last listed it, with the progress above.
+    std::optional<instant> listed_at_ = std::nullopt;
 };
 
 /// Identifies a step of one occurrence of a job.
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -3,6 +3,7 @@
 #include "pending_unit.hpp"
 #include "placement_search.hpp"
 #include "resource_table.hpp"
+#include "victim_selection.hpp"
 
 #include <algorithm>
 #include <array>
@@ -220,14 +221,19 @@
             plan_.waits_[unit.key()] = wait_reason::preemption_too_costly;
     }
 
-    /// Stops the victims and reserves their resources for the unit. What is
-    /// left over is not available until they have ended.
+    /// Stops the victims that do not end by themselves, and reserves their
+    /// resources for the unit. What is left over is not available until they
+    /// have ended.
     void preempt(const pending_unit& unit, const placement& where)
     {
+        victim_selection selection(table_, unit);
+        bool is_clearing = where.victims_.empty();
         for (victim_index index : where.victims_) {
             const victim& item = table_.victim_at(index);
+            bool is_stopped = !selection.ends_by_itself(item);
+            is_clearing = is_clearing || is_stopped || item.is_ending_;
             for (const victim::member& member : item.members_) {
-                if (!item.is_ending_)
+                if (is_stopped)
                     plan_.preemptions_.push_back(
                         {member.run_, unit.job_->spec_.id_, where.cost_});
             }
@@ -235,6 +241,9 @@
         }
         for (worker_index index : where.workers_)
             table_.reserve(index, unit);
+        // Work that only waits for other runs to end keeps its rank.
+        if (!is_clearing)
+            return;
         clearing& entry = plan_.clearings_[unit.key()];
         if (entry.lost_work_ == 0)
             entry.since_ = input_.now_;
--- a/libs/pool/src/placement_search.cpp
+++ b/libs/pool/src/placement_search.cpp
@@ -1,29 +1,12 @@
 #include "placement_search.hpp"
 
+#include "victim_selection.hpp"
+
 #include <algorithm>
 #include <tuple>
 
 namespace dandelioncrank::pool {
 
-namespace {
-
-/// Number of tasks that fit into the resources, at most `limit`.
-std::size_t count_fits(const resources& need, const resources& available,
-                       std::size_t limit)
-{
-    auto fits = static_cast<std::int64_t>(limit);
-    auto apply_dimension = [&fits](std::int64_t needed, std::int64_t there) {
-        if (needed > 0)
-            fits = std::min(fits, std::max<std::int64_t>(0, there) / needed);
-    };
-    apply_dimension(need.cpu_, available.cpu_);
-    apply_dimension(need.memory_mb_, available.memory_mb_);
-    apply_dimension(need.accelerators_, available.accelerators_);
-    return static_cast<std::size_t>(fits);
-}
-
-} // namespace
-
 // --- Eligibility
 
 bool placement_search::is_eligible(const pending_unit& unit,
@@ -50,15 +33,6 @@
     return !where.hosts_suspect_ && (!has_crashed_there || is_relaxed_);
 }
 
-bool placement_search::can_preempt(const pending_unit& unit, const victim& what)
-{
-    if (what.is_ending_)
-        return true;
-    if (what.priority_ > unit.job_->policy().priority_)
-        return true;
-    return unit.is_guaranteed_ && !what.is_guaranteed_;
-}
-
 bool placement_search::could_fit(const pending_unit& unit,
                                  const rack_resources& rack) const
 {
@@ -273,31 +247,20 @@
 
 std::optional<placement_search::fit>
 placement_search::evaluate(const pending_unit& unit, const candidate& where,
-                           bool allow_preemption,
-                           std::vector<victim_index>* victims) const
+                           bool allow_preemption) const
 {
     const resources& need = unit.spec().need_;
-    fit result{0, where.free_};
-    if (allow_preemption) {
-        for (victim_index index : table_.workers()[where.index_].victims_) {
-            if (need.fits_into(result.remaining_))
-                break;
-            const victim& item = table_.victim_at(index);
-            if (is_selected_[index] || !can_preempt(unit, item))
-                continue;
-            for (const victim::member& member : item.members_) {
-                if (member.worker_ == where.index_)
-                    result.remaining_ += item.need_;
-            }
-            result.cost_ += item.cost_;
-            if (victims != nullptr)
-                victims->push_back(index);
-        }
+    if (need.fits_into(where.free_) || !allow_preemption) {
+        fit result{0, where.free_};
+        result.remaining_ -= need;
+        return need.fits_into(where.free_) ? std::optional(result)
+                                           : std::nullopt;
     }
-    if (!need.fits_into(result.remaining_))
+    auto choice = victim_selection(table_, unit)
+                      .choose_on(where.index_, where.free_, is_selected_);
+    if (!choice)
         return std::nullopt;
-    result.remaining_ -= need;
-    return result;
+    return fit{choice->cost_, choice->remaining_};
 }
 
 std::vector<placement_search::candidate>
@@ -349,7 +312,7 @@
         if (limit > 0 && item.placed_ >= limit)
             continue;
         if (!item.is_evaluated_) {
-            item.fit_ = evaluate(unit, item, allow_preemption, nullptr);
+            item.fit_ = evaluate(unit, item, allow_preemption);
             item.is_evaluated_ = true;
         }
         if (item.fit_ && (best == nullptr || is_cheaper(unit, item, *best)))
@@ -358,8 +321,9 @@
     return best;
 }
 
-// Stopping a gang frees resources on the workers of all members.
-void placement_search::select_victims(const std::vector<victim_index>& victims,
+// The end of a gang frees resources on the workers of all members.
+void placement_search::select_victims(const pending_unit& unit,
+                                      const std::vector<victim_index>& victims,
                                       std::vector<candidate>& candidates,
                                       placement& result)
 {
@@ -367,14 +331,10 @@
         const victim& item = table_.victim_at(index);
         is_selected_[index] = true;
         result.victims_.push_back(index);
-        result.cost_ += item.cost_;
+        result.cost_ += victim_selection(table_, unit).cost_of(item);
         for (const victim::member& member : item.members_) {
-            auto other = std::lower_bound(
-                candidates.begin(), candidates.end(), member.worker_,
-                [](const candidate& left, worker_index right) {
-                    return left.index_ < right;
-                });
-            if (other == candidates.end() || other->index_ != member.worker_)
+            candidate* other = find_candidate(candidates, member.worker_);
+            if (other == nullptr)
                 continue;
             other->free_ += item.need_;
             other->is_evaluated_ = false;
@@ -382,33 +342,123 @@
     }
 }
 
-// Greedily selects the cheapest worker for each task. At equal cost and number
-// of failures the fullest worker is preferred, so that whole workers stay free.
+placement_search::candidate*
+placement_search::find_candidate(std::vector<candidate>& candidates,
+                                 worker_index where)
+{
+    auto found =
+        std::lower_bound(candidates.begin(), candidates.end(), where,
+                         [](const candidate& left, worker_index right) {
+                             return left.index_ < right;
+                         });
+    return found == candidates.end() || found->index_ != where ? nullptr
+                                                               : &*found;
+}
+
+// Stopping a gang for a later task may make room for earlier ones as well, so
+// that other victims chosen for them are not needed.
+void placement_search::drop_unneeded(const pending_unit& unit,
+                                     std::vector<candidate>& candidates,
+                                     placement& result)
+{
+    victim_selection selection(table_, unit);
+    std::vector<victim_index> by_cost = result.victims_;
+    std::stable_sort(by_cost.begin(), by_cost.end(),
+                     [&](victim_index a, victim_index b) {
+                         return selection.cost_of(table_.victim_at(a)) >
+                                selection.cost_of(table_.victim_at(b));
+                     });
+    for (victim_index index : by_cost) {
+        const victim& item = table_.victim_at(index);
+        if (selection.ends_by_itself(item))
+            continue;
+        auto change = [&](bool is_stopped) {
+            bool fits = true;
+            for (const victim::member& member : item.members_) {
+                candidate* where = find_candidate(candidates, member.worker_);
+                if (where == nullptr)
+                    continue;
+                if (is_stopped)
+                    where->free_ += item.need_;
+                else
+                    where->free_ -= item.need_;
+                fits = fits && (where->taken_ == 0 ||
+                                resources{}.fits_into(where->free_));
+            }
+            return fits;
+        };
+        if (!change(false)) {
+            (void)change(true);
+            continue;
+        }
+        std::erase(result.victims_, index);
+        is_selected_[index] = false;
+    }
+    result.cost_ = 0;
+    for (victim_index index : result.victims_)
+        result.cost_ += selection.cost_of(table_.victim_at(index));
+}
+
+// One victim that makes room for the whole unit may cost less than the sum of
+// those that are cheapest for each task.
 std::optional<placement>
 placement_search::find_on(const pending_unit& unit,
                           const std::vector<worker_index>& among,
                           bool allow_preemption)
+{
+    auto result = place_greedily(unit, among, allow_preemption, std::nullopt);
+    if (!result || !allow_preemption || unit.tasks_.size() < 2 ||
+        result->victims_.size() < 2 || result->cost_ <= 0)
+        return result;
+    std::vector<worker_index> workers;
+    std::vector<resources> free;
+    for (const candidate& item : make_candidates(unit, among, true)) {
+        workers.push_back(item.index_);
+        free.push_back(item.free_);
+    }
+    auto sufficient = victim_selection(table_, unit)
+                          .find_sufficient_victim(
+                              workers, free, unit.tasks_.size(), result->cost_);
+    if (!sufficient)
+        return result;
+    auto other = place_greedily(unit, among, true, sufficient);
+    return other && other->cost_ < result->cost_ ? other : result;
+}
+
+// Greedily selects the cheapest worker for each task. At equal cost and number
+// of failures the fullest worker is preferred, so that whole workers stay free.
+std::optional<placement> placement_search::place_greedily(
+    const pending_unit& unit, const std::vector<worker_index>& among,
+    bool allow_preemption, std::optional<victim_index> first_victim)
 {
     std::vector<candidate> candidates =
         make_candidates(unit, among, allow_preemption);
     is_selected_.resize(table_.victim_count());
     placement result;
+    if (first_victim)
+        select_victims(unit, {*first_victim}, candidates, result);
     while (result.workers_.size() < unit.tasks_.size()) {
         candidate* best = find_cheapest(unit, candidates, allow_preemption);
         if (best == nullptr)
             break;
-        std::vector<victim_index> victims;
-        if (best->fit_->cost_ > 0 || !unit.spec().need_.fits_into(best->free_))
-            (void)evaluate(unit, *best, allow_preemption, &victims);
-        select_victims(victims, candidates, result);
+        if (!unit.spec().need_.fits_into(best->free_)) {
+            auto choice =
+                victim_selection(table_, unit)
+                    .choose_on(best->index_, best->free_, is_selected_);
+            select_victims(unit, choice->victims_, candidates, result);
+        }
         best->free_ -= unit.spec().need_;
+        ++best->taken_;
         best->is_evaluated_ = false;
         ++best->placed_;
         result.workers_.push_back(best->index_);
     }
+    bool is_complete = result.workers_.size() == unit.tasks_.size();
+    if (is_complete && result.victims_.size() > 1)
+        drop_unneeded(unit, candidates, result);
     for (victim_index index : result.victims_)
         is_selected_[index] = false;
-    if (result.workers_.size() < unit.tasks_.size())
+    if (!is_complete)
         return std::nullopt;
     return result;
 }
--- a/libs/pool/src/placement_search.hpp
+++ b/libs/pool/src/placement_search.hpp
@@ -14,6 +14,7 @@
 {
     /// One worker for each task of the unit, in task order.
     std::vector<worker_index> workers_;
+    /// Including those that end by themselves.
     std::vector<victim_index> victims_;
     /// Core-seconds lost by the victims.
     double cost_ = 0;
@@ -58,6 +59,8 @@
         worker_index index_ = 0;
         resources free_;
         std::uint32_t placed_ = 0;
+        /// Tasks of the unit that this search places there.
+        std::uint32_t taken_ = 0;
         bool is_evaluated_ = false;
         std::optional<fit> fit_;
     };
@@ -74,6 +77,9 @@
     [[nodiscard]] std::optional<placement>
     find_on(const pending_unit& unit, const std::vector<worker_index>& among,
             bool allow_preemption);
+    [[nodiscard]] std::optional<placement> place_greedily(
+        const pending_unit& unit, const std::vector<worker_index>& among,
+        bool allow_preemption, std::optional<victim_index> first_victim);
     [[nodiscard]] std::vector<candidate>
     make_candidates(const pending_unit& unit,
                     const std::vector<worker_index>& among,
@@ -84,12 +90,16 @@
     [[nodiscard]] bool is_cheaper(const pending_unit& unit,
                                   const candidate& left,
                                   const candidate& right) const;
-    /// Collects the victims on request, as most evaluations are discarded.
-    [[nodiscard]] std::optional<fit>
-    evaluate(const pending_unit& unit, const candidate& where,
-             bool allow_preemption, std::vector<victim_index>* victims) const;
-    void select_victims(const std::vector<victim_index>& victims,
+    [[nodiscard]] std::optional<fit> evaluate(const pending_unit& unit,
+                                              const candidate& where,
+                                              bool allow_preemption) const;
+    void select_victims(const pending_unit& unit,
+                        const std::vector<victim_index>& victims,
                         std::vector<candidate>& candidates, placement& result);
+    [[nodiscard]] static candidate*
+    find_candidate(std::vector<candidate>& candidates, worker_index where);
+    void drop_unneeded(const pending_unit& unit,
+                       std::vector<candidate>& candidates, placement& result);
     /// Whether the unit would fit into an otherwise empty rack.
     [[nodiscard]] bool could_fit(const pending_unit& unit,
                                  const rack_resources& rack) const;
@@ -106,8 +116,6 @@
     find_least_risk(const pending_unit& unit, service_index service) const;
     [[nodiscard]] bool has_room(const pending_unit& unit,
                                 worker_index where) const;
-    [[nodiscard]] static bool can_preempt(const pending_unit& unit,
-                                          const victim& what);
 
     resource_table& table_;
     const planner_input& input_;
--- a/libs/pool/src/resource_table.cpp
+++ b/libs/pool/src/resource_table.cpp
@@ -1,6 +1,7 @@
 #include "resource_table.hpp"
 
 #include "job_value.hpp"
+#include "run_forecast.hpp"
 
 #include <algorithm>
 
@@ -20,6 +21,20 @@
 
 } // namespace
 
+std::size_t count_fits(const resources& need, const resources& available,
+                       std::size_t limit)
+{
+    auto fits = static_cast<std::int64_t>(limit);
+    auto apply_dimension = [&fits](std::int64_t needed, std::int64_t there) {
+        if (needed > 0)
+            fits = std::min(fits, std::max<std::int64_t>(0, there) / needed);
+    };
+    apply_dimension(need.cpu_, available.cpu_);
+    apply_dimension(need.memory_mb_, available.memory_mb_);
+    apply_dimension(need.accelerators_, available.accelerators_);
+    return static_cast<std::size_t>(fits);
+}
+
 resource_table::resource_table(const pool_state& state,
                                const planner_input& input,
                                const std::set<job_id>& guaranteed)
@@ -36,10 +51,12 @@
     for (const job_id& id : state_.active_jobs())
         add_victims_of(*state_.find_job(id));
     for (worker_resources& item : workers_) {
-        std::sort(item.victims_.begin(), item.victims_.end(),
-                  [this](victim_index a, victim_index b) {
-                      return victims_[a].cost_ < victims_[b].cost_;
-                  });
+        std::sort(
+            item.victims_.begin(), item.victims_.end(),
+            [this](victim_index a, victim_index b) {
+                return std::pair(victims_[a].cost_, -victims_[a].priority_) <
+                       std::pair(victims_[b].cost_, -victims_[b].priority_);
+            });
     }
 }
 
@@ -152,8 +169,27 @@
     return found == placed_.end() ? 0 : found->second;
 }
 
-void resource_table::assess(const job_record& job, victim& item) const
+std::optional<duration>
+resource_table::remaining_of(const victim::member& member,
+                             const run_observation& seen, const step_spec& spec,
+                             duration run_time) const
+{
+    if (spec.is_long_running_)
+        return std::nullopt;
+    double speed = 1.0;
+    if (member.worker_ < workers_.size())
+        speed =
+            input_.estimates_.speed_of(workers_[member.worker_].info_->name_);
+    auto expected = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(run_time) / speed);
+    return remaining_time(seen, expected, input_.now_);
+}
+
+void resource_table::assess(const job_record& job, duration run_time,
+                            victim& item) const
 {
+    bool is_end_known = true;
+    duration remaining{};
     for (const victim::member& member : item.members_) {
         const step_spec& spec = job.spec_.steps_[member.run_.task_.step_];
         duration lost{};
@@ -162,6 +198,11 @@
         bool is_seen = seen != input_.runs_.end();
         if (!spec.supports_checkpoints_ && is_seen)
             lost = input_.now_ - seen->second.started_at_;
+        auto rest = is_seen && is_end_known
+                        ? remaining_of(member, seen->second, spec, run_time)
+                        : std::nullopt;
+        is_end_known = rest.has_value();
+        remaining = std::max(remaining, rest.value_or(duration::zero()));
         item.is_ending_ = item.is_ending_ ||
                           (is_seen && seen->second.is_stopping_) ||
                           !pool_state::is_desired(job, member.run_);
@@ -170,6 +211,8 @@
     }
     if (item.is_ending_)
         item.cost_ = 0;
+    if (is_end_known)
+        item.remaining_ = remaining;
 }
 
 void resource_table::add_victims_of(const job_record& job)
@@ -198,8 +241,11 @@
                 found.back().members_.push_back(
                     {{{job.spec_.id_, k, s, i}, task.run_}, index});
             }
+            duration run_time{};
+            if (!found.empty())
+                run_time = input_.estimates_.run_time_of(job, spec);
             for (victim& item : found) {
-                assess(job, item);
+                assess(job, run_time, item);
                 for (const victim::member& member : item.members_) {
                     if (member.worker_ == workers_.size())
                         continue;
--- a/libs/pool/src/resource_table.hpp
+++ b/libs/pool/src/resource_table.hpp
@@ -35,8 +35,15 @@
     bool is_guaranteed_ = false;
     /// It is being stopped, or has ended without a reported outcome so far.
     bool is_ending_ = false;
+    /// How long the last of its runs still needs, if that is known.
+    std::optional<duration> remaining_ = std::nullopt;
 };
 
+/// Number of tasks that fit into the resources, at most `limit`.
+[[nodiscard]] std::size_t count_fits(const resources& need,
+                                     const resources& available,
+                                     std::size_t limit);
+
 /// Available resources of a usable worker during one plan.
 struct worker_resources
 {
@@ -147,7 +154,11 @@
 
   private:
     void add_victims_of(const job_record& job);
-    void assess(const job_record& job, victim& item) const;
+    void assess(const job_record& job, duration run_time, victim& item) const;
+    /// How long a run on a worker still needs, if that is known.
+    [[nodiscard]] std::optional<duration>
+    remaining_of(const victim::member& member, const run_observation& seen,
+                 const step_spec& spec, duration run_time) const;
     void add_worker(const worker_info& info, int failures);
     /// Changes the free resources of a worker and all indexes over them.
     void change_free(worker_index where, const resources& taken,
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -170,10 +170,12 @@
     planner_input& input) const
 {
     for (const auto& [run, entry] : runs_)
-        input.runs_[run] = {entry.started_at_, entry.progress_percent_,
-                            entry.stop_requested_ ||
-                                entry.blocked_at_.has_value(),
-                            entry.confirmed_at_};
+        input.runs_[run] = {
+            entry.started_at_, entry.progress_percent_,
+            entry.stop_requested_ || entry.blocked_at_.has_value(),
+            entry.confirmed_at_,
+            entry.confirmed_at_ ? std::optional(entry.reported_at_)
+                                : std::nullopt};
 }
 
 std::vector<run_ref> pool_owner::worker_session::stalled_runs(instant now) const
