Leave room for guaranteed work that is expected

The owner forecasts the accelerators that guaranteed jobs need at a time, from the arrivals of the last 15 s, within the unused guarantee of each team. Gangs without checkpoints that run longer than the time between two arrivals leave that much free, for at most 5 s from when they could have started, and only while they are on time; other work fills it.

--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dandelioncrank/pool/guaranteed_demand.hpp"
 #include "dandelioncrank/pool/performance_estimates.hpp"
 #include "dandelioncrank/pool/pool_state.hpp"
 
@@ -79,6 +80,10 @@
     /// occurrences at a time.
     std::uint64_t weight_limit_ = std::numeric_limits<std::uint64_t>::max();
     performance_estimates estimates_;
+    guaranteed_demand demand_;
+    /// Waiting steps that earlier plans have held back for expected guaranteed
+    /// work, and since when.
+    std::map<step_key, instant> held_since_;
 };
 
 /// A run to be stopped in favour of another job.
@@ -101,6 +106,11 @@
     std::set<step_key> spread_steps_;
     /// Steps with tasks that stay waiting, with the reason.
     std::map<step_key, wait_reason> waits_;
+    /// The input's, for the steps that go on waiting, and those held back now.
+    std::map<step_key, instant> held_since_;
+    /// Tasks that start in room which work that is costly to stop leaves to
+    /// expected guaranteed work.
+    std::uint64_t tasks_backfilled_ = 0;
 };
 
 /// Decides which waiting tasks start on which workers and which running tasks
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -67,6 +67,7 @@
 };
 
 class fencing_tokens;
+class guarantee_forecast;
 class loss_monitor;
 class proposal_tracker;
 
@@ -195,7 +196,9 @@
     std::map<job_id, confirmed_start> confirmed_starts_;
     instant starts_proposed_at_{};
     std::map<step_key, clearing> clearings_;
+    std::map<step_key, instant> held_since_;
     std::map<step_key, wait_entry> waits_;
+    std::unique_ptr<guarantee_forecast> forecast_;
     std::unique_ptr<loss_monitor> losses_;
     std::unique_ptr<fencing_tokens> tokens_;
     std::unique_ptr<proposal_tracker> proposals_;
--- a/libs/pool/src/pending_unit.cpp
+++ b/libs/pool/src/pending_unit.cpp
@@ -205,7 +205,10 @@
             if (remaining >= 0)
                 result.jobs_.insert(job->spec_.id_);
         }
-        result.unused_ += std::max<std::int64_t>(0, remaining);
+        std::int64_t unused = std::max<std::int64_t>(0, remaining);
+        result.unused_ += unused;
+        result.teams_[team] = {rule.guaranteed_accelerators_ - remaining,
+                               unused};
     }
     return result;
 }
--- a/libs/pool/src/pending_unit.hpp
+++ b/libs/pool/src/pending_unit.hpp
@@ -50,8 +50,16 @@
 struct guarantee_usage
 {
     std::set<job_id> jobs_;
+    struct team_usage
+    {
+        /// Accelerators of its open jobs of priority 0.
+        std::int64_t used_ = 0;
+        std::int64_t unused_ = 0;
+    };
+
     /// Guaranteed accelerators that no job needs.
     std::int64_t unused_ = 0;
+    std::map<team_name, team_usage> teams_;
 };
 
 /// A team's open jobs of priority 0 count against its guarantee in order of
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -1,5 +1,7 @@
 #include "dandelioncrank/pool/placement_planner.hpp"
 
+#include "guarantee_forecast.hpp"
+#include "job_value.hpp"
 #include "pending_unit.hpp"
 #include "placement_search.hpp"
 #include "resource_table.hpp"
@@ -32,6 +34,9 @@
 // It is below the 50 % from which waiting work counts as forgotten.
 constexpr std::int64_t underused_percent = 40;
 
+// How long work that is costly to stop waits for expected guaranteed work,
+// from when it could have started.
+constexpr duration forecast_wait_time = 5s;
 // Percentage of the workers of a busy pool that may run suspected work.
 constexpr std::size_t max_suspect_percent = 10;
 // How long work waits for a worker without suspects while much is idle.
@@ -44,6 +49,7 @@
     planning_pass(const pool_state& state, const planner_input& input)
         : state_(state), input_(input),
           guarantees_(compute_guarantee_usage(state)),
+          expected_need_(expected_need(input.demand_, guarantees_)),
           table_(state, input, guarantees_.jobs_), search_(table_, input)
     {
     }
@@ -88,12 +94,19 @@
     /// why it waits and may preempt other work.
     std::optional<placement> place_together(const pending_unit& unit)
     {
-        if (!leaves_headroom(unit)) {
+        auto held = input_.held_since_.find(unit.key());
+        if (held != input_.held_since_.end())
+            plan_.held_since_.insert(*held);
+        bool is_backfill = takes_expected_room(unit);
+        bool is_held = is_backfill && yields(unit);
+        if (!leaves_headroom(unit) || is_held) {
             bool has_capacity =
                 table_.free_accelerators() >= unit.accelerators();
             plan_.waits_[unit.key()] =
                 has_capacity ? wait_reason::reserved_for_guarantees
                              : wait_reason::no_capacity;
+            if (is_held && has_capacity)
+                plan_.held_since_.emplace(unit.key(), input_.now_);
             return std::nullopt;
         }
         if (unit.is_suspect() && !leaves_room_beside_suspects(unit)) {
@@ -125,6 +138,9 @@
             table_.allocate(index, unit);
             table_.note_start(index, unit);
         }
+        if (is_backfill)
+            plan_.tasks_backfilled_ += unit.tasks_.size();
+        plan_.held_since_.erase(unit.key());
         return where;
     }
 
@@ -182,6 +198,36 @@
         return table_.free_accelerators() - need >= headroom;
     }
 
+    /// Whether non-urgent work uses room that guaranteed work is expected to
+    /// need.
+    [[nodiscard]] bool takes_expected_room(const pending_unit& unit) const
+    {
+        std::int64_t need = unit.accelerators();
+        return unit.job_->policy().priority_ > 0 && need > 0 &&
+               expected_need_ > 0 && !is_underused() &&
+               table_.free_accelerators() - need < expected_need_;
+    }
+
+    [[nodiscard]] bool has_been_held(const pending_unit& unit) const
+    {
+        auto since = input_.held_since_.find(unit.key());
+        return since != input_.held_since_.end() &&
+               input_.now_ - since->second >= forecast_wait_time;
+    }
+
+    /// Whether work is held back for guaranteed work that is expected, which
+    /// would stop it at a high cost. Late work is not, and none is for long.
+    [[nodiscard]] bool yields(const pending_unit& unit) const
+    {
+        const step_spec& spec = unit.spec();
+        if (!spec.is_gang_ || spec.supports_checkpoints_ || has_been_held(unit))
+            return false;
+        bool ends_in_time = input_.estimates_.run_time_of(*unit.job_, spec) <=
+                            input_.demand_.arrival_interval_;
+        return !ends_in_time && lateness_of(*unit.job_, unit.occurrence_,
+                                            unit.age_) == job_lateness::on_time;
+    }
+
     /// The work lost by earlier plans counts as well: otherwise a unit whose
     /// cleared resources get lost again would stop work without a limit.
     [[nodiscard]] bool is_worthwhile(const pending_unit& unit,
@@ -254,6 +300,8 @@
     const pool_state& state_;
     const planner_input& input_;
     guarantee_usage guarantees_;
+    /// Accelerators that guaranteed work will need soon.
+    std::int64_t expected_need_;
     resource_table table_;
     placement_search search_;
     placement_plan plan_;
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -1,6 +1,7 @@
 #include "dandelioncrank/pool/pool_owner.hpp"
 
 #include "fencing_tokens.hpp"
+#include "guarantee_forecast.hpp"
 #include "loss_monitor.hpp"
 #include "proposal_tracker.hpp"
 #include "worker_session.hpp"
@@ -106,6 +107,7 @@
 pool_owner::pool_owner(const pool_state& state, owner_timing timing,
                        std::uint64_t weight_limit)
     : state_(state), timing_(timing), weight_limit_(weight_limit),
+      forecast_(std::make_unique<guarantee_forecast>()),
       losses_(make_loss_monitor()), tokens_(std::make_unique<fencing_tokens>()),
       proposals_(std::make_unique<proposal_tracker>())
 {
@@ -128,6 +130,7 @@
     is_dirty_ = true;
     workers_revision_.reset();
     swept_at_ = {};
+    forecast_ = std::make_unique<guarantee_forecast>();
     losses_ = make_loss_monitor();
     tokens_->begin(term);
     seen_notices_ = state_.notice_count();
@@ -186,6 +189,7 @@
     accepted_at_.clear();
     confirmed_starts_.clear();
     clearings_.clear();
+    held_since_.clear();
     waits_.clear();
     restart_at_.clear();
     lapsing_tasks_.clear();
@@ -544,13 +548,17 @@
         auto [found, is_new] = accepted_at_.try_emplace(id, now);
         if (!is_new)
             continue;
-        std::int64_t age = std::clamp<std::int64_t>(
-            wall_ms - state_.find_job(id)->accepted_ms_, 0,
-            max_inherited_age_ms);
+        const job_record& job = *state_.find_job(id);
+        std::int64_t age = std::clamp<std::int64_t>(wall_ms - job.accepted_ms_,
+                                                    0, max_inherited_age_ms);
         found->second = now - std::chrono::milliseconds(age);
+        forecast_->note_accepted(job, state_.config(), input.estimates_,
+                                 found->second);
     }
+    input.demand_ = forecast_->forecast(now);
     input.accepted_at_ = accepted_at_;
     input.clearings_ = clearings_;
+    input.held_since_ = held_since_;
     std::erase_if(restart_at_,
                   [now](const auto& item) { return item.second <= now; });
     input.restart_at_ = restart_at_;
@@ -603,7 +611,10 @@
                  "clearing rack " + entry.rack_ + " for the job"});
     }
     clearings_ = std::move(result.clearings_);
+    held_since_ = std::move(result.held_since_);
     update_waits(result.waits_, now);
+    if (!result.preemptions_.empty())
+        forecast_->note_preemption(now);
     for (const preemption& item : result.preemptions_) {
         request_stop(item.run_);
         output_.events_.push_back(
