Measure preemption, backfill and unusable idle accelerators

Operators could see preemptions only in log lines, and not whether idle accelerators are of use to what waits.

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -547,6 +547,13 @@
     metrics_.set_gauge(
         "waiting_jobs_without_workers",
         static_cast<double>(state().waiting_jobs_without_workers()));
+    const pool::planning_totals& totals = owner_->totals();
+    metrics_.set_gauge("preempted_core_seconds",
+                       totals.preempted_core_seconds_);
+    metrics_.set_gauge("tasks_backfilled",
+                       static_cast<double>(totals.tasks_backfilled_));
+    metrics_.set_gauge("idle_accelerators_unusable_percent",
+                       totals.idle_unusable_percent_);
 }
 
 void control_host::implementation::tick()
--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -111,6 +111,10 @@
     /// Tasks that start in room which work that is costly to stop leaves to
     /// expected guaranteed work.
     std::uint64_t tasks_backfilled_ = 0;
+    /// Core-seconds lost by all preemptions of the plan.
+    double preempted_core_seconds_ = 0;
+    /// Percentage of idle accelerators that no waiting unit can use.
+    double idle_unusable_percent_ = 0;
 };
 
 /// Decides which waiting tasks start on which workers and which running tasks
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -66,6 +66,16 @@
     std::vector<owner_event> events_;
 };
 
+/// What the plans of this process have cost, for metrics.
+struct planning_totals
+{
+    double preempted_core_seconds_ = 0;
+    std::uint64_t tasks_backfilled_ = 0;
+    /// Percentage of idle accelerators that no waiting work can use, in the
+    /// latest plan; 0 while this process is not the owner.
+    double idle_unusable_percent_ = 0;
+};
+
 class fencing_tokens;
 class guarantee_forecast;
 class loss_monitor;
@@ -128,6 +138,7 @@
     void tick(instant now, std::int64_t wall_ms);
 
     [[nodiscard]] owner_output take_output();
+    [[nodiscard]] const planning_totals& totals() const { return totals_; }
 
     /// Runs each plan, if set; lets the caller measure its cost.
     std::function<void(const std::function<void()>& plan)> around_plan_;
@@ -215,6 +226,7 @@
     bool starts_pending_ = false;
     instant planned_at_{};
     owner_output output_;
+    planning_totals totals_;
 };
 
 } // namespace dandelioncrank::pool
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -1,6 +1,7 @@
 #include "dandelioncrank/pool/placement_planner.hpp"
 
 #include "guarantee_forecast.hpp"
+#include "idle_capacity.hpp"
 #include "job_value.hpp"
 #include "pending_unit.hpp"
 #include "placement_search.hpp"
@@ -56,9 +57,16 @@
 
     placement_plan make()
     {
-        for (const pending_unit& unit :
-             collect_pending(state_, input_, guarantees_.jobs_))
+        std::vector<pending_unit> units =
+            collect_pending(state_, input_, guarantees_.jobs_);
+        for (const pending_unit& unit : units)
             place_unit(unit);
+        std::vector<const pending_unit*> waiting;
+        for (const pending_unit& unit : units) {
+            if (plan_.waits_.contains(unit.key()))
+                waiting.push_back(&unit);
+        }
+        plan_.idle_unusable_percent_ = percent_unusable(table_, waiting);
         return std::move(plan_);
     }
 
@@ -287,6 +295,7 @@
         }
         for (worker_index index : where.workers_)
             table_.reserve(index, unit);
+        plan_.preempted_core_seconds_ += where.cost_;
         // Work that only waits for other runs to end keeps its rank.
         if (!is_clearing)
             return;
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -190,6 +190,7 @@
     confirmed_starts_.clear();
     clearings_.clear();
     held_since_.clear();
+    totals_.idle_unusable_percent_ = 0;
     waits_.clear();
     restart_at_.clear();
     lapsing_tasks_.clear();
@@ -613,6 +614,9 @@
     clearings_ = std::move(result.clearings_);
     held_since_ = std::move(result.held_since_);
     update_waits(result.waits_, now);
+    totals_.preempted_core_seconds_ += result.preempted_core_seconds_;
+    totals_.tasks_backfilled_ += result.tasks_backfilled_;
+    totals_.idle_unusable_percent_ = result.idle_unusable_percent_;
     if (!result.preemptions_.empty())
         forecast_->note_preemption(now);
     for (const preemption& item : result.preemptions_) {
@@ -622,7 +626,8 @@
              "run " + to_text(item.run_) + " is preempted for job " +
                  item.for_job_.str() + ", losing " +
                  std::to_string(std::llround(item.lost_work_)) +
-                 " core-seconds in total"});
+                 " core-seconds in total",
+             "preemptions"});
     }
     for (start_run& command : result.starts_) {
         step_key step{command.job_, command.occurrence_, command.step_};
