--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -562,6 +562,13 @@
     metrics_.set_gauge("workers_slow",
                        static_cast<double>(speeds.slow_workers_));
     metrics_.set_gauge("worker_speed_spread", speeds.spread_);
+    const pool::planning_totals& totals = owner_->totals();
+    metrics_.set_gauge("preempted_core_seconds",
+                       totals.preempted_core_seconds_);
+    metrics_.set_gauge("tasks_backfilled",
+                       static_cast<double>(totals.tasks_backfilled_));
+    metrics_.set_gauge("idle_accelerators_unusable_percent",
+                       totals.idle_unusable_percent_);
 }
 
 void control_host::implementation::tick()
--- a/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/placement_planner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dandelioncrank/pool/guaranteed_demand.hpp"
 #include "dandelioncrank/pool/performance_estimates.hpp"
 #include "dandelioncrank/pool/pool_state.hpp"
 
@@ -24,6 +25,8 @@
     bool is_stopping_ = false;
     /// Since when its worker is known to run it; nothing if it is not.
     std::optional<instant> running_since_ = std::nullopt;
+    /// When its worker last listed it, with the progress above.
+    std::optional<instant> listed_at_ = std::nullopt;
 };
 
 /// Identifies a step of one occurrence of a job.
@@ -80,6 +83,10 @@
     /// Percentage of the capacity that workers use which are still slow after
     /// their start, as long as others have room.
     std::map<worker_name, int> cold_shares_;
+    guaranteed_demand demand_;
+    /// Waiting steps that earlier plans have held back for expected guaranteed
+    /// work, and since when.
+    std::map<step_key, instant> held_since_;
 };
 
 /// A run to be stopped in favour of another job.
@@ -108,6 +115,15 @@
     /// Runs without an end to be stopped, as they are in an evacuated zone and
     /// there is room for them elsewhere.
     std::vector<run_ref> moves_;
+    /// The input's, for the steps that go on waiting, and those held back now.
+    std::map<step_key, instant> held_since_;
+    /// Tasks that start in room which work that is costly to stop leaves to
+    /// expected guaranteed work.
+    std::uint64_t tasks_backfilled_ = 0;
+    /// Core-seconds lost by all preemptions of the plan.
+    double preempted_core_seconds_ = 0;
+    /// Percentage of idle accelerators that no waiting unit can use.
+    double idle_unusable_percent_ = 0;
 };
 
 /// Decides which waiting tasks start on which workers and which running tasks
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -73,7 +73,18 @@
     std::vector<owner_event> events_;
 };
 
+/// What the plans of this process have cost, for metrics.
+struct planning_totals
+{
+    double preempted_core_seconds_ = 0;
+    std::uint64_t tasks_backfilled_ = 0;
+    /// Percentage of idle accelerators that no waiting work can use, in the
+    /// latest plan; 0 while this process is not the owner.
+    double idle_unusable_percent_ = 0;
+};
+
 class fencing_tokens;
+class guarantee_forecast;
 class loss_monitor;
 class performance_model;
 class progress_monitor;
@@ -141,6 +152,7 @@
     /// most `limit` in each list.
     [[nodiscard]] worker_speed_summary
     summarize_worker_speeds(std::size_t limit) const;
+    [[nodiscard]] const planning_totals& totals() const { return totals_; }
 
     /// Runs each plan, if set; lets the caller measure its cost.
     std::function<void(const std::function<void()>& plan)> around_plan_;
@@ -221,7 +233,9 @@
     std::map<job_id, confirmed_start> confirmed_starts_;
     instant starts_proposed_at_{};
     std::map<step_key, clearing> clearings_;
+    std::map<step_key, instant> held_since_;
     std::map<step_key, wait_entry> waits_;
+    std::unique_ptr<guarantee_forecast> forecast_;
     std::unique_ptr<loss_monitor> losses_;
     std::unique_ptr<progress_monitor> progress_;
     /// When the progress of all runs was last judged.
@@ -244,6 +258,7 @@
     bool starts_pending_ = false;
     instant planned_at_{};
     owner_output output_;
+    planning_totals totals_;
 };
 
 } // namespace dandelioncrank::pool
--- a/libs/pool/src/placement_planner.cpp
+++ b/libs/pool/src/placement_planner.cpp
@@ -1,9 +1,13 @@
 #include "dandelioncrank/pool/placement_planner.hpp"
 
 #include "evacuation_moves.hpp"
+#include "guarantee_forecast.hpp"
+#include "idle_capacity.hpp"
+#include "job_value.hpp"
 #include "pending_unit.hpp"
 #include "placement_search.hpp"
 #include "resource_table.hpp"
+#include "victim_selection.hpp"
 
 #include <algorithm>
 #include <array>
@@ -32,6 +36,9 @@
 // It is below the 50 % from which waiting work counts as forgotten.
 constexpr std::int64_t underused_percent = 40;
 
+// How long work that is costly to stop waits for expected guaranteed work,
+// from when it could have started.
+constexpr duration forecast_wait_time = 5s;
 // Percentage of the workers of a busy pool that may run suspected work.
 constexpr std::size_t max_suspect_percent = 10;
 // How long work waits for a worker without suspects while much is idle.
@@ -44,16 +51,24 @@
     planning_pass(const pool_state& state, const planner_input& input)
         : state_(state), input_(input),
           guarantees_(compute_guarantee_usage(state)),
+          expected_need_(expected_need(input.demand_, guarantees_)),
           table_(state, input, guarantees_.jobs_), search_(table_, input)
     {
     }
 
     placement_plan make()
     {
-        for (const pending_unit& unit :
-             collect_pending(state_, input_, guarantees_.jobs_))
+        std::vector<pending_unit> units =
+            collect_pending(state_, input_, guarantees_.jobs_);
+        for (const pending_unit& unit : units)
             place_unit(unit);
         plan_moves();
+        std::vector<const pending_unit*> waiting;
+        for (const pending_unit& unit : units) {
+            if (plan_.waits_.contains(unit.key()))
+                waiting.push_back(&unit);
+        }
+        plan_.idle_unusable_percent_ = percent_unusable(table_, waiting);
         return std::move(plan_);
     }
 
@@ -130,12 +145,19 @@
     /// why it waits and may preempt other work.
     std::optional<placement> place_together(const pending_unit& unit)
     {
-        if (!leaves_headroom(unit)) {
+        auto held = input_.held_since_.find(unit.key());
+        if (held != input_.held_since_.end())
+            plan_.held_since_.insert(*held);
+        bool is_backfill = takes_expected_room(unit);
+        bool is_held = is_backfill && yields(unit);
+        if (!leaves_headroom(unit) || is_held) {
             bool has_capacity =
                 table_.free_accelerators() >= unit.accelerators();
             plan_.waits_[unit.key()] =
                 has_capacity ? wait_reason::reserved_for_guarantees
                              : wait_reason::no_capacity;
+            if (is_held && has_capacity)
+                plan_.held_since_.emplace(unit.key(), input_.now_);
             return std::nullopt;
         }
         if (unit.is_suspect() && !leaves_room_beside_suspects(unit)) {
@@ -172,6 +194,9 @@
             table_.allocate(index, unit);
             table_.note_start(index, unit);
         }
+        if (is_backfill)
+            plan_.tasks_backfilled_ += unit.tasks_.size();
+        plan_.held_since_.erase(unit.key());
         return where;
     }
 
@@ -229,6 +254,36 @@
         return table_.free_accelerators() - need >= headroom;
     }
 
+    /// Whether non-urgent work uses room that guaranteed work is expected to
+    /// need.
+    [[nodiscard]] bool takes_expected_room(const pending_unit& unit) const
+    {
+        std::int64_t need = unit.accelerators();
+        return unit.job_->policy().priority_ > 0 && need > 0 &&
+               expected_need_ > 0 && !is_underused() &&
+               table_.free_accelerators() - need < expected_need_;
+    }
+
+    [[nodiscard]] bool has_been_held(const pending_unit& unit) const
+    {
+        auto since = input_.held_since_.find(unit.key());
+        return since != input_.held_since_.end() &&
+               input_.now_ - since->second >= forecast_wait_time;
+    }
+
+    /// Whether work is held back for guaranteed work that is expected, which
+    /// would stop it at a high cost. Late work is not, and none is for long.
+    [[nodiscard]] bool yields(const pending_unit& unit) const
+    {
+        const step_spec& spec = unit.spec();
+        if (!spec.is_gang_ || spec.supports_checkpoints_ || has_been_held(unit))
+            return false;
+        bool ends_in_time = input_.estimates_.run_time_of(*unit.job_, spec) <=
+                            input_.demand_.arrival_interval_;
+        return !ends_in_time && lateness_of(*unit.job_, unit.occurrence_,
+                                            unit.age_) == job_lateness::on_time;
+    }
+
     /// The work lost by earlier plans counts as well: otherwise a unit whose
     /// cleared resources get lost again would stop work without a limit.
     [[nodiscard]] bool is_worthwhile(const pending_unit& unit,
@@ -268,14 +323,19 @@
             plan_.waits_[unit.key()] = wait_reason::preemption_too_costly;
     }
 
-    /// Stops the victims and reserves their resources for the unit. What is
-    /// left over is not available until they have ended.
+    /// Stops the victims that do not end by themselves, and reserves their
+    /// resources for the unit. What is left over is not available until they
+    /// have ended.
     void preempt(const pending_unit& unit, const placement& where)
     {
+        victim_selection selection(table_, unit);
+        bool is_clearing = where.victims_.empty();
         for (victim_index index : where.victims_) {
             const victim& item = table_.victim_at(index);
+            bool is_stopped = !selection.ends_by_itself(item);
+            is_clearing = is_clearing || is_stopped || item.is_ending_;
             for (const victim::member& member : item.members_) {
-                if (!item.is_ending_)
+                if (is_stopped)
                     plan_.preemptions_.push_back(
                         {member.run_, unit.job_->spec_.id_, where.cost_});
             }
@@ -283,6 +343,10 @@
         }
         for (worker_index index : where.workers_)
             table_.reserve(index, unit);
+        plan_.preempted_core_seconds_ += where.cost_;
+        // Work that only waits for other runs to end keeps its rank.
+        if (!is_clearing)
+            return;
         clearing& entry = plan_.clearings_[unit.key()];
         if (entry.lost_work_ == 0)
             entry.since_ = input_.now_;
@@ -293,6 +357,8 @@
     const pool_state& state_;
     const planner_input& input_;
     guarantee_usage guarantees_;
+    /// Accelerators that guaranteed work will need soon.
+    std::int64_t expected_need_;
     resource_table table_;
     placement_search search_;
     placement_plan plan_;
--- a/libs/pool/src/pool_owner.cpp
+++ b/libs/pool/src/pool_owner.cpp
@@ -1,6 +1,7 @@
 #include "dandelioncrank/pool/pool_owner.hpp"
 
 #include "fencing_tokens.hpp"
+#include "guarantee_forecast.hpp"
 #include "loss_monitor.hpp"
 #include "performance_model.hpp"
 #include "progress_monitor.hpp"
@@ -108,6 +109,7 @@
 pool_owner::pool_owner(const pool_state& state, owner_timing timing,
                        std::uint64_t weight_limit)
     : state_(state), timing_(timing), weight_limit_(weight_limit),
+      forecast_(std::make_unique<guarantee_forecast>()),
       losses_(make_loss_monitor()), progress_(make_progress_monitor()),
       performance_(std::make_unique<performance_model>(state)),
       tokens_(std::make_unique<fencing_tokens>()),
@@ -132,6 +134,7 @@
     is_dirty_ = true;
     workers_revision_.reset();
     swept_at_ = {};
+    forecast_ = std::make_unique<guarantee_forecast>();
     losses_ = make_loss_monitor();
     progress_ = make_progress_monitor();
     judged_at_ = {};
@@ -196,6 +199,8 @@
     accepted_at_.clear();
     confirmed_starts_.clear();
     clearings_.clear();
+    held_since_.clear();
+    totals_.idle_unusable_percent_ = 0;
     waits_.clear();
     cold_starts_.clear();
     restart_at_.clear();
@@ -559,15 +564,19 @@
         auto [found, is_new] = accepted_at_.try_emplace(id, now);
         if (!is_new)
             continue;
-        std::int64_t age = std::clamp<std::int64_t>(
-            wall_ms - state_.find_job(id)->accepted_ms_, 0,
-            max_inherited_age_ms);
+        const job_record& job = *state_.find_job(id);
+        std::int64_t age = std::clamp<std::int64_t>(wall_ms - job.accepted_ms_,
+                                                    0, max_inherited_age_ms);
         found->second = now - std::chrono::milliseconds(age);
+        forecast_->note_accepted(job, state_.config(), input.estimates_,
+                                 found->second);
     }
     cold_starts_.expire(now);
     input.cold_shares_ = cold_starts_.shares(now);
+    input.demand_ = forecast_->forecast(now);
     input.accepted_at_ = accepted_at_;
     input.clearings_ = clearings_;
+    input.held_since_ = held_since_;
     std::erase_if(restart_at_,
                   [now](const auto& item) { return item.second <= now; });
     input.restart_at_ = restart_at_;
@@ -622,7 +631,13 @@
                  "clearing rack " + entry.rack_ + " for the job"});
     }
     clearings_ = std::move(result.clearings_);
+    held_since_ = std::move(result.held_since_);
     update_waits(result.waits_, now);
+    totals_.preempted_core_seconds_ += result.preempted_core_seconds_;
+    totals_.tasks_backfilled_ += result.tasks_backfilled_;
+    totals_.idle_unusable_percent_ = result.idle_unusable_percent_;
+    if (!result.preemptions_.empty())
+        forecast_->note_preemption(now);
     for (const preemption& item : result.preemptions_) {
         request_stop(item.run_);
         output_.events_.push_back(
@@ -630,7 +645,8 @@
              "run " + to_text(item.run_) + " is preempted for job " +
                  item.for_job_.str() + ", losing " +
                  std::to_string(std::llround(item.lost_work_)) +
-                 " core-seconds in total"});
+                 " core-seconds in total",
+             "preemptions"});
     }
     stop_moved(result.moves_);
     for (start_run& command : result.starts_) {
