--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -8,10 +8,9 @@
 #include "evacuation_service.hpp"
 #include "group_log.hpp"
 #include "loop_report.hpp"
-#include "loss_description.hpp"
 #include "membership_manager.hpp"
 #include "peer_registry.hpp"
-#include "speed_description.hpp"
+#include "pool_report.hpp"
 #include "worker_service.hpp"
 
 #include <QAbstractEventDispatcher>
@@ -549,26 +548,7 @@
     if (now - state_reported_at_ < state_report_interval)
         return;
     state_reported_at_ = now;
-    metrics_.set_gauge("state_weight_bytes",
-                       static_cast<double>(state().weight()));
-    metrics_.set_gauge("state_weight_limit_bytes",
-                       static_cast<double>(settings_.weight_limit_));
-    metrics_.set_gauge("zones_evacuated",
-                       static_cast<double>(state().evacuated_zones().size()));
-    metrics_.set_gauge(
-        "waiting_jobs_without_workers",
-        static_cast<double>(state().waiting_jobs_without_workers()));
-    pool::worker_speed_summary speeds = owner_->summarize_worker_speeds(0);
-    metrics_.set_gauge("workers_slow",
-                       static_cast<double>(speeds.slow_workers_));
-    metrics_.set_gauge("worker_speed_spread", speeds.spread_);
-    const pool::planning_totals& totals = owner_->totals();
-    metrics_.set_gauge("preempted_core_seconds",
-                       totals.preempted_core_seconds_);
-    metrics_.set_gauge("tasks_backfilled",
-                       static_cast<double>(totals.tasks_backfilled_));
-    metrics_.set_gauge("idle_accelerators_unusable_percent",
-                       totals.idle_unusable_percent_);
+    report_pool(state(), *owner_, settings_.weight_limit_, metrics_);
 }
 
 void control_host::implementation::tick()
@@ -617,20 +597,7 @@
     object["leader"] = QString::fromStdString(status.leader_.str());
     object["commit"] = static_cast<qint64>(status.commit_);
     object["applied"] = static_cast<qint64>(replica_->applied());
-    object["config"] = static_cast<qint64>(state().config().version_);
-    object["workers"] = static_cast<qint64>(state().workers().size());
-    object["active_jobs"] = static_cast<qint64>(state().active_jobs().size());
-    object["state_weight_bytes"] = static_cast<qint64>(state().weight());
-    object["state_weight_limit_bytes"] =
-        static_cast<qint64>(settings_.weight_limit_);
-    object["given_up_jobs"] = describe_given_up(state());
-    object["suspected_tasks"] = describe_suspects(state());
-    object["worker_speeds"] = describe_worker_speeds(
-        owner_->summarize_worker_speeds(max_listed_speeds));
-    QJsonArray evacuated;
-    for (const zone_name& zone : state().evacuated_zones())
-        evacuated.append(QString::fromStdString(zone.str()));
-    object["evacuated_zones"] = evacuated;
+    describe_pool(state(), *owner_, settings_.weight_limit_, object);
     QJsonArray voters;
     for (const voter_name& identity : status.members_.voters_)
         voters.append(QString::fromStdString(identity.str()));
