Bound what senders can make the internal port hold

What callers saw: the process ended for want of memory when senders outside the group opened HTTP/2 connections to its port for messages between daemons and sent bodies without an end. The users saw 651 MB (control host) and 855 MB (dandelioncrankd) for 10 and 20 connections.

Cause: a message and a connection were bounded (64 and 128 MiB), the process was not, and everything was kept before anybody knew whether the sender was a daemon.

Ruled out: a list of member addresses (a new host is on nobody's list), a shared secret (the settings have none), one budget for all (a crowd would take the group's room).

Change: a sender is verified by its first accepted message. Unverified senders share a sixteenth of the memory, at most 16 MiB; verified ones half of it, at most 128 MiB. Messages of more than 60 KiB announce their size, and their HTTP/2 window is opened when there is room for all of it, in order of arrival; what can never get room is refused at once. Without verification a connection is closed after ten checks, one a second; an admitted message without progress is refused after five. A session that nghttp2 has ended is closed.

Four cases of peer.peer cover verification, turns and refusals.

Conclusion: the port is bounded for the process, and strangers take nothing of the group's room. Senders that speak the group's protocol are not told apart; docs/design/untrusted-clients.md says so under "What remains".

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -2,6 +2,7 @@
 
 #include "client_service.hpp"
 #include "dandelioncrank/control/membership_planner.hpp"
+#include "dandelioncrank/peer/peer_metrics.hpp"
 #include "dandelioncrank/peer/peer_server.hpp"
 #include "dandelioncrank/replica/replica.hpp"
 #include "disk_thread.hpp"
@@ -203,7 +204,8 @@
                                               : settings_.internal_address_,
         [this](const QByteArray& bytes, const peer_server::responder& reply) {
             receive_message(bytes, reply);
-        });
+        },
+        peer_limits_of(settings_.buffer_bytes_));
     replica_->disk_executor_ = [this](std::function<void()> write,
                                       std::function<void(instant)> on_done) {
         instant began = steady_now();
@@ -549,6 +551,7 @@
         return;
     state_reported_at_ = now;
     report_pool(state(), *owner_, settings_.weight_limit_, metrics_);
+    update_peer_metrics(server_->status(), metrics_);
 }
 
 void control_host::implementation::tick()
--- a/libs/http/include/dandelioncrank/http/buffer_budget.hpp
+++ b/libs/http/include/dandelioncrank/http/buffer_budget.hpp
@@ -30,6 +30,8 @@
     /// Bytes that are buffered or reserved. May be called from any thread.
     [[nodiscard]] std::size_t used_bytes() const { return used_bytes_; }
     [[nodiscard]] bool is_nearly_exhausted() const;
+    /// Reservations beyond this size get room only if there are no others.
+    [[nodiscard]] std::size_t max_reservation() const;
 
     /// Reclaims the reservations of connections that have received nothing for
     /// a while, if others wait for them.
--- a/libs/http/src/buffer_budget.cpp
+++ b/libs/http/src/buffer_budget.cpp
@@ -36,6 +36,11 @@
     return used_bytes_ >= share_of_limit(reclaim_percent);
 }
 
+std::size_t buffer_budget::max_reservation() const
+{
+    return share_of_limit(reservable_percent);
+}
+
 // A body within the limits is served when no other one is held, whatever the
 // limit of the buffers is.
 bool buffer_budget::has_room(const buffer_account& account,
@@ -43,8 +48,7 @@
 {
     std::size_t own = account.reserved_bytes_ > 0 ? 1 : 0;
     std::size_t others = used_bytes_ - account.charged_bytes_;
-    return reservations_ == own ||
-           others + bytes <= share_of_limit(reservable_percent);
+    return reservations_ == own || others + bytes <= max_reservation();
 }
 
 bool buffer_budget::reserve(buffer_account& account, std::size_t bytes)
--- a/libs/http/src/buffer_metrics.cpp
+++ b/libs/http/src/buffer_metrics.cpp
@@ -2,16 +2,6 @@
 
 namespace dandelioncrank {
 
-namespace {
-
-void set_counter(metric_registry& metrics, const std::string& name,
-                 std::uint64_t value)
-{
-    metrics.count(name, value - metrics.counter(name));
-}
-
-} // namespace
-
 void update_buffer_metrics(const std::vector<const buffer_budget*>& budgets,
                            metric_registry& metrics)
 {
@@ -33,12 +23,11 @@
     }
     metrics.set_gauge("http_buffered_bytes", static_cast<double>(used));
     metrics.set_gauge("http_buffer_limit_bytes", static_cast<double>(limit));
-    set_counter(metrics, "http_connections_refused", refused);
-    set_counter(metrics, "connections_closed_idle", closed_idle);
-    set_counter(metrics, "connections_closed_for_memory", closed_for_memory);
-    set_counter(metrics, "http_requests_refused_for_memory",
-                refused_for_memory);
-    set_counter(metrics, "http_requests_refused_for_size", refused_for_size);
+    metrics.set_counter("http_connections_refused", refused);
+    metrics.set_counter("connections_closed_idle", closed_idle);
+    metrics.set_counter("connections_closed_for_memory", closed_for_memory);
+    metrics.set_counter("http_requests_refused_for_memory", refused_for_memory);
+    metrics.set_counter("http_requests_refused_for_size", refused_for_size);
 }
 
 } // namespace dandelioncrank
--- a/libs/metrics/include/dandelioncrank/metrics/metric_registry.hpp
+++ b/libs/metrics/include/dandelioncrank/metrics/metric_registry.hpp
@@ -20,6 +20,8 @@
     ~metric_registry();
 
     void count(const std::string& name, std::uint64_t increment = 1);
+    /// Brings a counter to a total that is counted elsewhere.
+    void set_counter(const std::string& name, std::uint64_t total);
     void set_gauge(const std::string& name, double value);
     void record_duration(const std::string& name, duration value);
 
--- a/libs/metrics/src/metric_registry.cpp
+++ b/libs/metrics/src/metric_registry.cpp
@@ -50,6 +50,11 @@
     counters_[name] += increment;
 }
 
+void metric_registry::set_counter(const std::string& name, std::uint64_t total)
+{
+    counters_[name] = total;
+}
+
 void metric_registry::set_gauge(const std::string& name, double value)
 {
     gauges_[name] = value;
--- a/libs/node/src/daemon_node.cpp
+++ b/libs/node/src/daemon_node.cpp
@@ -8,6 +8,7 @@
 #include "dandelioncrank/http/buffer_metrics.hpp"
 #include "dandelioncrank/http/http_server.hpp"
 #include "dandelioncrank/metrics/metric_registry.hpp"
+#include "dandelioncrank/peer/peer_metrics.hpp"
 #include "dandelioncrank/peer/peer_server.hpp"
 #include "json_conversion.hpp"
 #include "memory_limits.hpp"
@@ -177,7 +178,8 @@
         settings_.peer_address_,
         [this](const QByteArray& bytes, const peer_server::responder& reply) {
             receive_message(bytes, reply);
-        });
+        },
+        peer_limits_of(settings_.buffer_bytes_));
     control_server_ = std::make_unique<http_server>(
         settings_.control_address_, settings_.limits_,
         [this](const http_request& request,
@@ -602,6 +604,7 @@
             budgets.push_back(budget);
     }
     update_buffer_metrics(budgets, metrics_);
+    update_peer_metrics(peer_server_->status(), metrics_);
     http_response response;
     response.headers_.set("Content-Type", "text/plain; version=0.0.4");
     response.body_ = metrics_.to_text();
--- a/libs/peer/include/dandelioncrank/peer/peer_server.hpp
+++ b/libs/peer/include/dandelioncrank/peer/peer_server.hpp
@@ -1,20 +1,37 @@
 #pragma once
 
+#include "dandelioncrank/peer/peer_limits.hpp"
 #include "dandelioncrank/settings/settings_reader.hpp"
 
 #include <QByteArray>
 #include <QObject>
+#include <QTimer>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace dandelioncrank {
 
+class peer_budgets;
+class peer_connection;
 class tcp_listener;
-class tcp_socket;
-class http2_session;
+
+/// What a peer_server holds, and what it has refused.
+struct peer_server_status
+{
+    std::size_t connections_ = 0;
+    std::size_t unverified_connections_ = 0;
+    /// Bytes held for messages that are not complete.
+    std::size_t held_bytes_ = 0;
+    std::uint64_t connections_refused_ = 0;
+    /// Closed by this side.
+    std::uint64_t connections_closed_ = 0;
+    /// Too large, or without progress.
+    std::uint64_t messages_refused_ = 0;
+};
 
 /// Receives messages from other daemons.
 class peer_server : public QObject
@@ -26,7 +43,8 @@
     using message_handler = std::function<void(QByteArray body, responder)>;
 
     /// Throws std::system_error if the address cannot be bound.
-    peer_server(const host_port& address, message_handler on_message);
+    peer_server(const host_port& address, message_handler on_message,
+                const peer_limits& limits = {});
     ~peer_server() override;
 
     [[nodiscard]] int port() const;
@@ -39,23 +57,26 @@
         return received_messages_;
     }
 
-  private:
-    struct connection
-    {
-        std::unique_ptr<tcp_socket> socket_;
-        std::unique_ptr<http2_session> session_;
-    };
+    [[nodiscard]] peer_server_status status() const;
 
+  private:
     void accept(int descriptor);
-    void close_connection(std::uint64_t connection_id);
-    void respond(std::uint64_t connection_id, std::int32_t stream,
-                 const std::optional<QByteArray>& body);
+    void remove(std::uint64_t connection_id);
+    void start_checks();
+    void check_connections();
 
     message_handler on_message_;
-    std::map<std::uint64_t, connection> connections_;
+    peer_limits limits_;
+    std::unique_ptr<peer_budgets> budgets_;
+    std::map<std::uint64_t, std::unique_ptr<peer_connection>> connections_;
+    /// Closed connections, which may still be on the call stack.
+    std::vector<std::unique_ptr<peer_connection>> closed_;
     std::uint64_t next_connection_id_ = 0;
     std::uint64_t received_bytes_ = 0;
     std::uint64_t received_messages_ = 0;
+    std::uint64_t connections_refused_ = 0;
+    std::uint64_t connections_closed_ = 0;
+    QTimer check_timer_;
     std::unique_ptr<tcp_listener> listener_;
 };
 
--- a/libs/peer/src/peer_link.cpp
+++ b/libs/peer/src/peer_link.cpp
@@ -91,6 +91,11 @@
 {
     if (socket_ && socket_->unsent_bytes() > max_unsent_bytes)
         return;
+    // A large message that waits to be admitted does not hold back small ones,
+    // by which the receiver verifies this host.
+    if (session_ && body.size() > small_message_bytes &&
+        session_->unsent_bytes() > max_unsent_bytes)
+        return;
     send(body, timeout, nullptr);
 }
 
--- a/libs/peer/src/peer_server.cpp
+++ b/libs/peer/src/peer_server.cpp
@@ -1,8 +1,8 @@
 #include "dandelioncrank/peer/peer_server.hpp"
 
 #include "dandelioncrank/http/tcp_listener.hpp"
-#include "dandelioncrank/http/tcp_socket.hpp"
-#include "http2_session.hpp"
+#include "peer_budgets.hpp"
+#include "peer_connection.hpp"
 
 #include <QPointer>
 
@@ -12,15 +12,19 @@
 
 namespace {
 
-constexpr std::size_t max_connections = 512;
+constexpr auto check_interval = std::chrono::seconds(1);
 
 } // namespace
 
-peer_server::peer_server(const host_port& address, message_handler on_message)
-    : on_message_(std::move(on_message)),
+peer_server::peer_server(const host_port& address, message_handler on_message,
+                         const peer_limits& limits)
+    : on_message_(std::move(on_message)), limits_(limits),
+      budgets_(std::make_unique<peer_budgets>(limits)),
       listener_(std::make_unique<tcp_listener>(
           address, [this](int descriptor) { accept(descriptor); }))
 {
+    QObject::connect(&check_timer_, &QTimer::timeout, this,
+                     [this] { check_connections(); });
 }
 
 peer_server::~peer_server() = default;
@@ -32,63 +36,78 @@
 
 void peer_server::accept(int descriptor)
 {
-    if (connections_.size() >= max_connections) {
+    if (connections_.size() >= limits_.connections_) {
+        ++connections_refused_;
         ::close(descriptor);
         return;
     }
     std::uint64_t connection_id = ++next_connection_id_;
-    connection& item = connections_[connection_id];
-    item.socket_ = std::make_unique<tcp_socket>();
-    item.session_ = std::make_unique<http2_session>(http2_session::side::server,
-                                                    *item.socket_);
-    item.session_->on_message_ = [this, connection_id](std::int32_t stream,
-                                                       bool, QByteArray body) {
+    auto& item = connections_[connection_id];
+    item = std::make_unique<peer_connection>(descriptor, *budgets_);
+    item->on_message_ = [this, connection_id](std::int32_t stream,
+                                              QByteArray body) {
         ++received_messages_;
         received_bytes_ += static_cast<std::uint64_t>(body.size());
         QPointer<peer_server> self(this);
         on_message_(std::move(body), [self, connection_id,
                                       stream](std::optional<QByteArray> reply) {
-            if (self)
-                self->respond(connection_id, stream, reply);
+            if (!self)
+                return;
+            auto found = self->connections_.find(connection_id);
+            if (found != self->connections_.end())
+                found->second->respond(stream, reply);
         });
     };
-    item.socket_->on_input_ = [this, connection_id] {
-        auto found = connections_.find(connection_id);
-        if (found != connections_.end() &&
-            !found->second.session_->process_input())
-            close_connection(connection_id);
-    };
-    item.socket_->on_input_end_ = [this, connection_id] {
-        close_connection(connection_id);
-    };
-    item.socket_->on_error_ = [this, connection_id](const std::string&) {
-        close_connection(connection_id);
-    };
-    item.socket_->adopt(descriptor);
-    item.session_->flush();
+    item->on_closed_ = [this, connection_id] { remove(connection_id); };
+    item->on_checks_needed_ = [this] { start_checks(); };
+    start_checks();
 }
 
-void peer_server::close_connection(std::uint64_t connection_id)
+void peer_server::start_checks()
+{
+    if (!check_timer_.isActive())
+        check_timer_.start(check_interval);
+}
+
+void peer_server::remove(std::uint64_t connection_id)
 {
     auto found = connections_.find(connection_id);
     if (found == connections_.end())
         return;
-    found->second.socket_->close();
+    closed_.push_back(std::move(found->second));
+    connections_.erase(found);
     // Deferred: the session or the socket is on the call stack.
     QMetaObject::invokeMethod(
-        this, [this, connection_id] { connections_.erase(connection_id); },
-        Qt::QueuedConnection);
+        this, [this] { closed_.clear(); }, Qt::QueuedConnection);
 }
 
-void peer_server::respond(std::uint64_t connection_id, std::int32_t stream,
-                          const std::optional<QByteArray>& body)
+void peer_server::check_connections()
 {
-    auto found = connections_.find(connection_id);
-    if (found == connections_.end())
-        return;
-    found->second.session_->submit_response(stream, body.has_value(),
-                                            body.value_or(QByteArray()));
-    found->second.session_->flush();
+    std::vector<peer_connection*> checked;
+    for (const auto& item : connections_) {
+        if (item.second->needs_checks())
+            checked.push_back(item.second.get());
+    }
+    std::size_t before = connections_.size();
+    for (peer_connection* connection : checked)
+        connection->check_progress();
+    connections_closed_ += before - connections_.size();
+    if (checked.empty())
+        check_timer_.stop();
+}
+
+peer_server_status peer_server::status() const
+{
+    peer_server_status result;
+    result.connections_ = connections_.size();
+    for (const auto& item : connections_)
+        result.unverified_connections_ += item.second->is_verified() ? 0 : 1;
+    result.held_bytes_ =
+        budgets_->verified_.used_bytes() + budgets_->unverified_.used_bytes();
+    result.connections_refused_ = connections_refused_;
+    result.connections_closed_ = connections_closed_;
+    result.messages_refused_ = budgets_->messages_refused_;
+    return result;
 }
 
 } // namespace dandelioncrank
--- a/libs/peer/test/peer_test.cpp
+++ b/libs/peer/test/peer_test.cpp
@@ -31,6 +31,17 @@
 
 const host_port any_port{"127.0.0.1", 0};
 
+constexpr std::size_t mebibyte = 1024 * 1024;
+
+/// Limits of a small host.
+peer_limits small_limits()
+{
+    peer_limits limits;
+    limits.verified_bytes_ = 16 * mebibyte;
+    limits.unverified_bytes_ = mebibyte;
+    return limits;
+}
+
 } // namespace
 
 TEST_CASE("responses are matched to their messages in any order", "[peer]")
@@ -183,3 +194,111 @@
     link.send("x", 30s, [&](auto response) { passed = response.has_value(); });
     run_until([&] { return passed; });
 }
+
+// Senders outside the group made a process hold more than its machine has, a
+// message at a time on each connection.
+TEST_CASE("a large message waits until its sender is verified", "[peer]")
+{
+    ensure_application();
+    std::vector<qsizetype> received;
+    peer_server server(
+        any_port,
+        [&](const QByteArray& body, auto reply) {
+            received.push_back(body.size());
+            reply("accepted");
+        },
+        small_limits());
+    peer_link link({"127.0.0.1", server.port()});
+    constexpr qsizetype large_bytes = 4 * mebibyte;
+    bool done = false;
+    link.send(QByteArray(large_bytes, 'x'), 30s,
+              [&](const auto& response) { done = response.has_value(); });
+    run_until([&] { return server.status().held_bytes_ > 0; });
+    CHECK(server.status().unverified_connections_ == 1);
+    CHECK(server.status().held_bytes_ < mebibyte / 8);
+    link.send("x", 30s, nullptr);
+    run_until([&] { return done; });
+    CHECK(received == std::vector<qsizetype>{1, large_bytes});
+    CHECK(server.status().unverified_connections_ == 0);
+    CHECK(server.status().held_bytes_ == 0);
+}
+
+TEST_CASE("unverified senders take nothing from verified ones", "[peer]")
+{
+    ensure_application();
+    peer_server server(
+        any_port,
+        [&](const QByteArray& body, auto reply) {
+            bool is_valid = body.front() == 'x';
+            reply(is_valid ? std::optional<QByteArray>("accepted")
+                           : std::nullopt);
+        },
+        small_limits());
+    host_port address{"127.0.0.1", server.port()};
+    std::vector<std::unique_ptr<peer_link>> crowd;
+    std::size_t most_held = 0;
+    int ended = 0;
+    constexpr int senders = 20;
+    for (int i = 0; i < senders; ++i) {
+        crowd.push_back(std::make_unique<peer_link>(address));
+        crowd.back()->send(QByteArray(8 * mebibyte, 'a'), 30s,
+                           [&](const auto&) { ++ended; });
+    }
+    peer_link link(address);
+    bool is_verified = false;
+    link.send("x", 30s, [&](const auto& response) {
+        is_verified = response.has_value();
+    });
+    run_until([&] { return is_verified; });
+    bool done = false;
+    link.send(QByteArray(8 * mebibyte, 'x'), 30s,
+              [&](const auto& response) { done = response.has_value(); });
+    run_until([&] { return done; });
+    run_until([&] {
+        most_held = std::max(most_held, server.status().held_bytes_);
+        return ended == senders;
+    });
+    CHECK(most_held < 2 * mebibyte);
+    CHECK(server.status().connections_closed_ > 0);
+}
+
+TEST_CASE("a message that never gets room is refused at once", "[peer]")
+{
+    ensure_application();
+    peer_server server(
+        any_port, [](QByteArray body, auto reply) { reply(body); },
+        small_limits());
+    peer_link link({"127.0.0.1", server.port()});
+    bool done = false;
+    link.send(QByteArray(12 * mebibyte, 'x'), 60s, [&](const auto& response) {
+        CHECK_FALSE(response);
+        done = true;
+    });
+    run_until([&] { return done; });
+    CHECK(server.status().messages_refused_ == 1);
+}
+
+TEST_CASE("large messages take turns in the room there is", "[peer]")
+{
+    ensure_application();
+    std::size_t most_held = 0;
+    peer_server server(
+        any_port, [](const QByteArray&, auto reply) { reply("accepted"); },
+        small_limits());
+    host_port address{"127.0.0.1", server.port()};
+    std::vector<std::unique_ptr<peer_link>> links;
+    int answered = 0;
+    constexpr int senders = 12;
+    for (int i = 0; i < senders; ++i) {
+        links.push_back(std::make_unique<peer_link>(address));
+        links.back()->send("x", 60s, nullptr);
+        links.back()->send(
+            QByteArray(4 * mebibyte, 'x'), 60s,
+            [&](const auto& response) { answered += response.has_value(); });
+    }
+    run_until([&] {
+        most_held = std::max(most_held, server.status().held_bytes_);
+        return answered == senders;
+    });
+    CHECK(most_held < 16 * mebibyte);
+}
