Count open streams and unread responses of the internal port

What callers saw: nothing yet; found on paths related to the endless messages. 200 senders that open 4,000 streams each and send no body, or 100 that send valid messages and read no responses, made a control host outgrow its machine.

Cause: only received bytes were counted, neither the memory of a stream nor what waits to be sent. 64 KiB of input can open 2,400 streams, and a closed connection kept them until the event loop had read from all others.

Ruled out: a lower limit of concurrent streams: entry hosts use thousands, and 512 connections with 128 each are too many already.

Change: a stream counts as 512 bytes, the unsent part of responses by its size, against the budget of their sender. A closed connection frees its session at once unless that is on the call stack.

Conclusion: what a sender can make the port hold is counted in one place.

--- a/libs/peer/src/http2_session.cpp
+++ b/libs/peer/src/http2_session.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::uint32_t max_concurrent_streams = 4096;
+// Memory of a stream without its bodies, here and in nghttp2.
+constexpr std::size_t stream_bytes = 512;
 constexpr std::int32_t window_bytes = 16 * 1024 * 1024;
 // Window of a message that is not admitted. A sender uses it before it has
 // received the server's settings.
@@ -280,21 +282,35 @@
 
 void http2_session::refuse(std::int32_t stream)
 {
-    streams_[stream].is_refused_ = true;
+    auto found = streams_.find(stream);
+    if (found == streams_.end())
+        return;
+    found->second.is_refused_ = true;
     nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, stream,
                               NGHTTP2_REFUSED_STREAM);
 }
 
-void http2_session::release_received()
+void http2_session::end()
 {
-    for (auto& item : streams_)
-        item.second.receive_buffer_ = {};
+    has_ended_ = true;
+    release();
+}
+
+void http2_session::release()
+{
+    if (!has_ended_ || is_receiving_ || is_flushing_)
+        return;
+    nghttp2_session_del(session_);
+    session_ = nullptr;
+    streams_.clear();
     incomplete_bytes_ = 0;
+    unsent_bytes_ = 0;
 }
 
 std::size_t http2_session::held_bytes() const
 {
-    return static_cast<std::size_t>(incomplete_bytes_);
+    return static_cast<std::size_t>(incomplete_bytes_) + unsent_bytes() +
+           streams_.size() * stream_bytes;
 }
 
 std::size_t http2_session::unsent_bytes() const
@@ -314,26 +330,30 @@
 {
     std::string bytes;
     bytes.swap(socket_.input());
+    if (has_ended_)
+        return false;
     is_receiving_ = true;
     auto consumed = nghttp2_session_mem_recv(
         session_, reinterpret_cast<const std::uint8_t*>(bytes.data()),
         bytes.size());
     is_receiving_ = false;
-    if (consumed < 0)
+    release();
+    if (consumed < 0 || has_ended_)
         return false;
     flush();
-    return nghttp2_session_want_read(session_) != 0 ||
-           nghttp2_session_want_write(session_) != 0;
+    return !has_ended_ && (nghttp2_session_want_read(session_) != 0 ||
+                           nghttp2_session_want_write(session_) != 0);
 }
 
 void http2_session::flush()
 {
     // nghttp2 must not be called back from its callbacks.
-    if (is_flushing_ || is_receiving_)
+    if (has_ended_ || is_flushing_ || is_receiving_)
         return;
     is_flushing_ = true;
     nghttp2_session_send(session_);
     is_flushing_ = false;
+    release();
 }
 
 } // namespace dandelioncrank
--- a/libs/peer/src/http2_session.hpp
+++ b/libs/peer/src/http2_session.hpp
@@ -45,16 +45,17 @@
     void admit(std::int32_t stream);
     /// Server: resets a stream whose message is not received.
     void refuse(std::int32_t stream);
-    /// Server: frees what was received of messages that are not complete.
-    void release_received();
+    /// Frees what is held, once it is not in use; nothing is received or sent
+    /// any more.
+    void end();
     /// Processes the bytes read by the socket. Returns false if they are not
     /// HTTP/2 or the session has ended, and the connection must be closed.
     bool process_input();
     /// Sends pending output.
     void flush();
 
-    /// Server: bytes received of messages that are neither complete nor
-    /// admitted.
+    /// Server: memory held for open streams, besides admitted messages: what
+    /// was received, and the part of responses that is not sent.
     [[nodiscard]] std::size_t held_bytes() const;
     /// Bytes of bodies that the peer's windows hold back.
     [[nodiscard]] std::size_t unsent_bytes() const;
@@ -93,6 +94,8 @@
     void receive_data(std::int32_t stream, const char* bytes, qsizetype size);
     void receive_end(std::int32_t stream);
     void close_stream(std::int32_t stream);
+    /// Frees an ended session that is not on the call stack.
+    void release();
 
     side side_;
     tcp_socket& socket_;
@@ -103,6 +106,7 @@
     qsizetype unsent_bytes_ = 0;
     bool is_flushing_ = false;
     bool is_receiving_ = false;
+    bool has_ended_ = false;
 };
 
 } // namespace dandelioncrank
--- a/libs/peer/src/peer_connection.cpp
+++ b/libs/peer/src/peer_connection.cpp
@@ -161,7 +161,7 @@
         if (item.second.account_)
             item.second.account_->close();
     }
-    session_.release_received();
+    session_.end();
     if (on_closed_)
         on_closed_();
 }
