Let no crowd keep the group from connecting

What callers saw: nothing yet; found on paths related to the endless messages. 512 connections to the internal port, silent ones or ones that had sent one valid message, kept every host of the group out until their senders closed them: a control host that restarted could not join, an entry host lost the leader.

Cause: the port closed new connections at its limit and never closed an old one.

Ruled out: a higher limit (descriptors), a deadline alone (a crowd opens new connections).

Change: at the limit a new connection takes the place of the oldest unverified one, else of the verified one that has been idle longest, for two seconds at least. A daemon sends its first message as it connects, and a host whose idle connection was closed opens another one, so the group is not refused.

A case in peer.peer.

Conclusion: silent and idle crowds do not lock the group out. A sender that speaks the protocol on 512 connections all the time still does.

--- a/libs/peer/include/dandelioncrank/peer/peer_server.hpp
+++ b/libs/peer/include/dandelioncrank/peer/peer_server.hpp
@@ -62,6 +62,7 @@
   private:
     void accept(int descriptor);
     void remove(std::uint64_t connection_id);
+    void close_least_useful();
     void start_checks();
     void check_connections();
 
--- a/libs/peer/src/peer_connection.cpp
+++ b/libs/peer/src/peer_connection.cpp
@@ -44,6 +44,7 @@
 
 void peer_connection::read_input()
 {
+    last_input_at_ = steady_now();
     if (!session_.process_input()) {
         close();
         return;
--- a/libs/peer/src/peer_connection.hpp
+++ b/libs/peer/src/peer_connection.hpp
@@ -40,6 +40,7 @@
     void check_progress();
 
     [[nodiscard]] bool is_verified() const { return is_verified_; }
+    [[nodiscard]] instant last_input_at() const { return last_input_at_; }
     /// Whether check_progress() has anything to do.
     [[nodiscard]] bool needs_checks() const
     {
@@ -77,6 +78,7 @@
     std::map<std::int32_t, large_message> large_messages_;
     tcp_socket socket_;
     http2_session session_;
+    instant last_input_at_ = steady_now();
     bool is_verified_ = false;
     bool is_closed_ = false;
     int checks_unverified_ = 0;
--- a/libs/peer/src/peer_server.cpp
+++ b/libs/peer/src/peer_server.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr auto check_interval = std::chrono::seconds(1);
+// Longer than the interval of the messages between daemons that work together.
+constexpr duration min_idle_time = std::chrono::seconds(2);
 
 } // namespace
 
@@ -36,6 +38,8 @@
 
 void peer_server::accept(int descriptor)
 {
+    if (connections_.size() >= limits_.connections_)
+        close_least_useful();
     if (connections_.size() >= limits_.connections_) {
         ++connections_refused_;
         ::close(descriptor);
@@ -63,6 +67,31 @@
     start_checks();
 }
 
+// A daemon sends its first message as soon as it is connected, so the oldest
+// unverified connection is the least likely to be one of the group. A verified
+// sender whose connection is closed while it is idle opens another one.
+void peer_server::close_least_useful()
+{
+    peer_connection* candidate = nullptr;
+    for (const auto& item : connections_) {
+        peer_connection* connection = item.second.get();
+        if (!connection->is_verified()) {
+            candidate = connection;
+            break;
+        }
+        if (candidate == nullptr ||
+            connection->last_input_at() < candidate->last_input_at())
+            candidate = connection;
+    }
+    bool is_idle = candidate != nullptr &&
+                   (!candidate->is_verified() ||
+                    steady_now() - candidate->last_input_at() >= min_idle_time);
+    if (!is_idle)
+        return;
+    candidate->close();
+    ++connections_closed_;
+}
+
 void peer_server::start_checks()
 {
     if (!check_timer_.isActive())
--- a/libs/peer/test/peer_test.cpp
+++ b/libs/peer/test/peer_test.cpp
@@ -302,3 +302,37 @@
     });
     CHECK(most_held < 16 * mebibyte);
 }
+
+// Connections that sent nothing kept hosts of the group from connecting.
+TEST_CASE("a new connection takes the place of an unverified one", "[peer]")
+{
+    ensure_application();
+    constexpr std::size_t max_connections = 4;
+    peer_limits limits;
+    limits.connections_ = max_connections;
+    peer_server server(
+        any_port, [](QByteArray body, auto reply) { reply(body); }, limits);
+    host_port address{"127.0.0.1", server.port()};
+    peer_link member(address);
+    int answered = 0;
+    auto count = [&](const auto& response) {
+        answered += response.has_value();
+    };
+    member.send("x", 30s, count);
+    run_until([&] { return answered == 1; });
+    std::vector<std::unique_ptr<tcp_socket>> crowd;
+    for (std::size_t i = 0; i < 2 * max_connections; ++i) {
+        crowd.push_back(std::make_unique<tcp_socket>());
+        crowd.back()->connect_to(address);
+    }
+    run_until([&] {
+        return server.status().connections_closed_ == max_connections + 1;
+    });
+    peer_link newcomer(address);
+    newcomer.send("x", 30s, count);
+    run_until([&] { return answered == 2; });
+    member.send("x", 30s, count);
+    run_until([&] { return answered == 3; });
+    CHECK(server.status().connections_ == max_connections);
+    CHECK(server.status().connections_refused_ == 0);
+}
