Leave descriptors to the internal port

What callers saw: nothing yet; found on paths related to the endless messages. Idle connections to the control port and to the internal port together used more descriptors than a control host has; then neither connections are accepted nor files opened.

Cause: clients take up to 85 % of the descriptors, the internal port 512 more, and nobody added them up.

Ruled out: one count for both: either port could take the other one's part.

Change: on hosts of a pool the internal port takes one eighth of the descriptors, at most 512 as before, and the budget of client connections is what is left.

Conclusion: the connections of a process fit its descriptors.

--- a/libs/control/include/dandelioncrank/control/control_settings.hpp
+++ b/libs/control/include/dandelioncrank/control/control_settings.hpp
@@ -57,6 +57,9 @@
     log_level log_level_ = log_level::info;
 
     [[nodiscard]] bool is_entry() const { return client_address_.port_ != 0; }
+    /// Number of descriptors that are kept for connections from other daemons;
+    /// entry hosts accept none.
+    [[nodiscard]] std::size_t peer_connections() const;
 };
 
 struct control_settings_result
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -50,6 +50,14 @@
 constexpr duration leadership_transfer_timeout = 1500ms;
 // Interval at which the gauges of the state are updated.
 constexpr duration state_report_interval = 500ms;
+
+peer_limits limits_of_peers(const control_settings& settings)
+{
+    peer_limits limits = peer_limits_of(settings.buffer_bytes_);
+    limits.connections_ = settings.peer_connections();
+    return limits;
+}
+
 } // namespace
 
 class control_host::implementation
@@ -205,7 +213,7 @@
         [this](const QByteArray& bytes, const peer_server::responder& reply) {
             receive_message(bytes, reply);
         },
-        peer_limits_of(settings_.buffer_bytes_));
+        limits_of_peers(settings_));
     replica_->disk_executor_ = [this](std::function<void()> write,
                                       std::function<void(instant)> on_done) {
         instant began = steady_now();
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -1,6 +1,7 @@
 #include "dandelioncrank/control/control_settings.hpp"
 
 #include "dandelioncrank/http/memory_share.hpp"
+#include "dandelioncrank/peer/peer_limits.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/strings/ascii.h>
@@ -188,8 +189,21 @@
     return log_level::info;
 }
 
+// One descriptor in so many is for connections from other daemons. Clients'
+// connections and these never add up to more than the descriptors.
+constexpr std::size_t peer_descriptor_divisor = 8;
+
 } // namespace
 
+std::size_t control_settings::peer_connections() const
+{
+    if (is_entry())
+        return 0;
+    return std::min(peer_limits{}.connections_,
+                    static_cast<std::size_t>(descriptors_) /
+                        peer_descriptor_divisor);
+}
+
 control_settings_result read_control_settings(const std::string& file, int argc,
                                               const char* const* argv)
 {
