Bound the bodies that wait in the kernel's buffers

What callers saw: nothing yet; the users computed 360 MB for 3,075 connections on a machine of 120 MB. Bytes that have arrived and are not read are memory of the machine, and the platform ends a process for them.

Cause: a large body without room is not read, and any number of them waited, with up to 117 KiB each in the kernel.

Ruled out: smaller buffers for all connections: 3,000 of 32 KiB in each direction are 190 MB, and every upload pays for it. Counting waiting bodies against the budget itself: the connections that hold most are given up first, and those are the ones that are being read.

Change: as many bodies wait as fill, in the kernel, the size of their budget: 102 with 120 MB, 221 with 260 MB. Another one is refused at once with 503 and Retry-After; it has not run.

A case of http.buffer_budget, one of http.server_limits.

Conclusion: waiting bodies are bounded. Unread answers and pipelined input in the kernel are not; docs/design/untrusted-clients.md says so under "What remains".

--- a/libs/http/include/dandelioncrank/http/buffer_account.hpp
+++ b/libs/http/include/dandelioncrank/http/buffer_account.hpp
@@ -23,7 +23,8 @@
     /// those of this account.
     void set_buffered(std::size_t bytes);
     /// Reserves room for a body; the bytes replace an earlier reservation. If
-    /// this returns false, on_granted_ is called once there is room.
+    /// this returns false, on_granted_ is called once there is room, unless
+    /// the account is not waiting because too many others are.
     bool reserve(std::size_t bytes, instant now);
     void release_reservation();
     /// Notes that the connection has received a part of its body.
--- a/libs/http/include/dandelioncrank/http/buffer_budget.hpp
+++ b/libs/http/include/dandelioncrank/http/buffer_budget.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <list>
 #include <set>
 
@@ -15,9 +16,9 @@
 /// Bounds the bytes that the connections of one event loop buffer together:
 /// unread input, unsent output and the bodies of requests in flight.
 ///
-/// Above the first threshold, large bodies wait to be read. Above the second
-/// one, the connections that hold most give up their buffers. What lies between
-/// is left to small requests.
+/// Above the first threshold, large bodies wait to be read, as many as the
+/// kernel may hold unread. Above the second one, the connections that hold most
+/// give up their buffers. What lies between is left to small requests.
 class buffer_budget
 {
   public:
@@ -33,6 +34,10 @@
     /// Reservations beyond this size get room only if there are no others.
     [[nodiscard]] std::size_t max_reservation() const;
 
+    /// Sets the bytes that the kernel may hold for a connection that is not
+    /// read. As many bodies may wait as hold the limit of the budget there;
+    /// without this, any number.
+    void set_unread_bytes(std::size_t bytes_per_connection);
     /// Reclaims the reservations of connections that have received nothing for
     /// a while, if others wait for them.
     void reclaim_stalled(instant now);
@@ -57,6 +62,7 @@
     void reclaim();
 
     std::size_t limit_bytes_;
+    std::size_t max_waiting_ = std::numeric_limits<std::size_t>::max();
     std::atomic<std::size_t> used_bytes_ = 0;
     std::size_t reservations_ = 0;
     std::set<buffer_account*> accounts_;
--- a/libs/http/include/dandelioncrank/http/server_connection.hpp
+++ b/libs/http/include/dandelioncrank/http/server_connection.hpp
@@ -78,6 +78,7 @@
     bool admit_body();
     void continue_body();
     void give_up_buffers();
+    void refuse_for_memory();
     void update_account();
     void handle_input_end();
     void handle_timeout();
--- a/libs/http/src/buffer_budget.cpp
+++ b/libs/http/src/buffer_budget.cpp
@@ -36,6 +36,13 @@
     return used_bytes_ >= share_of_limit(reclaim_percent);
 }
 
+void buffer_budget::set_unread_bytes(std::size_t bytes_per_connection)
+{
+    if (bytes_per_connection > 0)
+        max_waiting_ =
+            std::max<std::size_t>(1, limit_bytes_ / bytes_per_connection);
+}
+
 std::size_t buffer_budget::max_reservation() const
 {
     return share_of_limit(reservable_percent);
@@ -57,7 +64,10 @@
         grant(account, bytes);
         return true;
     }
-    if (account.wanted_bytes_ == 0)
+    bool is_waiting = account.wanted_bytes_ > 0;
+    if (!is_waiting && waiting_.size() >= max_waiting_)
+        return false;
+    if (!is_waiting)
         waiting_.push_back(&account);
     account.wanted_bytes_ = bytes;
     return false;
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -14,6 +14,8 @@
 
 // Time for handshakes that have begun to complete.
 constexpr duration handshake_time = std::chrono::milliseconds(200);
+// The kernel doubles the size of a buffer that it is told.
+constexpr std::size_t kernel_factor = 2;
 constexpr auto stall_check_interval = std::chrono::milliseconds(500);
 // One of so many idle connections is closed when there are too many.
 constexpr std::size_t idle_share_divisor = 64;
@@ -68,6 +70,7 @@
 void http_server::set_buffer_budget(buffer_budget& budget)
 {
     buffers_ = &budget;
+    budget.set_unread_bytes(kernel_factor * limits_.socket_buffer_bytes_);
     QObject::connect(&stall_timer_, &QTimer::timeout,
                      [this] { buffers_->reclaim_stalled(steady_now()); });
     stall_timer_.start(stall_check_interval);
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -131,6 +131,8 @@
         announced.value_or(limits_.body_bytes_) + body_read_bytes;
     body_admitted_ = account_->reserve(needed, steady_now());
     socket_.set_reading(body_admitted_);
+    if (!body_admitted_ && !account_->is_waiting())
+        refuse_for_memory();
     return body_admitted_;
 }
 
@@ -164,17 +166,21 @@
 {
     if (phase_ == phase::closed)
         return;
-    buffer_budget& budget = account_->budget();
     if (phase_ == phase::head || phase_ == phase::body) {
-        ++budget.requests_refused_for_memory_;
-        reject({503, "the server is short of memory"});
+        refuse_for_memory();
         update_account();
         return;
     }
-    ++budget.connections_closed_for_memory_;
+    ++account_->budget().connections_closed_for_memory_;
     finish();
 }
 
+void server_connection::refuse_for_memory()
+{
+    ++account_->budget().requests_refused_for_memory_;
+    reject({503, "the server is short of memory"});
+}
+
 void server_connection::close_if_idle()
 {
     if (is_idle())
@@ -300,8 +306,7 @@
 {
     bool is_waiting = account_ && account_->is_waiting();
     if (phase_ == phase::body && is_waiting) {
-        ++account_->budget().requests_refused_for_memory_;
-        reject({503, "the server is short of memory"});
+        refuse_for_memory();
     } else if (phase_ == phase::head || phase_ == phase::body) {
         reject({408, "the request did not arrive in time"});
     } else {
--- a/libs/http/test/buffer_budget_test.cpp
+++ b/libs/http/test/buffer_budget_test.cpp
@@ -55,6 +55,27 @@
     CHECK(budget.used_bytes() == large + 1);
 }
 
+// Guards against bodies that wait unread in the kernel, without a bound.
+TEST_CASE("no more bodies wait than the kernel may hold", "[buffer_budget]")
+{
+    buffer_budget budget(limit);
+    budget.set_unread_bytes(limit / 2);
+    holder active(budget);
+    CHECK(active.account_.reserve(2 * limit / 3, instant{}));
+    std::vector<std::unique_ptr<holder>> holders;
+    for (int i = 0; i < 3; ++i) {
+        holders.push_back(std::make_unique<holder>(budget));
+        CHECK_FALSE(holders.back()->account_.reserve(large, instant{}));
+    }
+    CHECK(holders[0]->account_.is_waiting());
+    CHECK(holders[1]->account_.is_waiting());
+    CHECK_FALSE(holders[2]->account_.is_waiting());
+    active.account_.release_reservation();
+    CHECK(holders[0]->granted_ == 1);
+    CHECK(holders[1]->granted_ == 1);
+    CHECK(holders[2]->granted_ == 0);
+}
+
 TEST_CASE("a body larger than the limit is read if none else is",
           "[buffer_budget]")
 {
--- a/libs/http/test/server_limits_test.cpp
+++ b/libs/http/test/server_limits_test.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -106,6 +107,32 @@
     CHECK(budget.used_bytes() == 0);
 }
 
+// Guards against bodies that wait unread in the kernel, without a bound.
+TEST_CASE("a body beyond those that may wait is refused at once",
+          "[server_limits]")
+{
+    application();
+    buffer_budget budget(limit_bytes);
+    http_limits limits;
+    // One body may wait.
+    limits.socket_buffer_bytes_ = limit_bytes / 2;
+    http_server server(any_port, limits, answer_size());
+    server.set_buffer_budget(budget);
+    test_client first(server, large_head() + "a");
+    run_until([&] { return budget.used_bytes() >= body_bytes; });
+    std::vector<std::unique_ptr<test_client>> others;
+    for (int i = 0; i < 3; ++i)
+        others.push_back(std::make_unique<test_client>(
+            server, large_head() + std::string(body_bytes, 'a')));
+    auto count = [&others](const std::string& text) {
+        return std::count_if(
+            others.begin(), others.end(),
+            [&text](const auto& item) { return item->has_received(text); });
+    };
+    run_until([&] { return count("Retry-After: 1") == 2; });
+    run_until([&] { return count("size " + std::to_string(body_bytes)) == 1; });
+}
+
 // Guards against answers that are never read and stay in memory.
 TEST_CASE("answers that are not read are given up when memory is short",
           "[server_limits]")
