--- a/libs/peer/src/http2_session.hpp
+++ b/libs/peer/src/http2_session.hpp
@@ -69,7 +69,7 @@
     /// Client: called when a stream closed without a complete response.
     std::function<void(std::int32_t stream)> on_stream_failed_;
     /// Server: a message larger than small_message_bytes was announced. No more
-    /// than that is received of it before admit() is called.
+    /// than the initial window is received of it before admit() is called.
     std::function<void(std::int32_t stream, std::size_t bytes)>
         on_large_message_;
     /// Server: a stream has ended, with or without a message.
--- a/libs/peer/src/peer_connection.cpp
+++ b/libs/peer/src/peer_connection.cpp
@@ -1,5 +1,6 @@
 #include "peer_connection.hpp"
 
+#include <algorithm>
 #include <vector>
 
 namespace dandelioncrank {
@@ -18,7 +19,7 @@
 {
     open_account();
     session_.on_message_ = [this](std::int32_t stream, bool, QByteArray body) {
-        large_messages_.erase(stream);
+        forget(stream);
         on_message_(stream, std::move(body));
     };
     session_.on_large_message_ = [this](std::int32_t stream,
@@ -26,7 +27,7 @@
         announce(stream, bytes);
     };
     session_.on_stream_closed_ = [this](std::int32_t stream) {
-        large_messages_.erase(stream);
+        forget(stream);
     };
     socket_.on_input_ = [this] { read_input(); };
     socket_.on_input_end_ = [this] { close(); };
@@ -36,6 +37,13 @@
     session_.flush();
 }
 
+peer_connection::~peer_connection()
+{
+    // Room that becomes free is granted at once, also to this connection.
+    on_closed_ = nullptr;
+    close();
+}
+
 void peer_connection::open_account()
 {
     account_.emplace(is_verified_ ? budgets_.verified_ : budgets_.unverified_);
@@ -99,6 +107,8 @@
 
 void peer_connection::request_room(std::int32_t stream, large_message& message)
 {
+    if (is_closed_)
+        return;
     if (!is_verified_ &&
         message.bytes_ > budgets_.max_unverified_message_bytes())
         return;
@@ -124,11 +134,23 @@
         &socket_, [this] { session_.flush(); }, Qt::QueuedConnection);
 }
 
+void peer_connection::forget(std::int32_t stream)
+{
+    // The room that becomes free may be granted to another message in the map.
+    auto ended = large_messages_.extract(stream);
+}
+
 void peer_connection::check_progress()
 {
     if (is_closed_)
         return;
-    if (!is_verified_ && ++checks_unverified_ >= max_checks_unverified) {
+    // A first message may be long on its way.
+    bool is_receiving =
+        std::any_of(large_messages_.begin(), large_messages_.end(),
+                    [](const auto& item) { return item.second.is_admitted_; });
+    if (!is_verified_ && !is_receiving)
+        ++checks_unverified_;
+    if (!is_verified_ && checks_unverified_ >= max_checks_unverified) {
         close();
         return;
     }
--- a/libs/peer/src/peer_connection.hpp
+++ b/libs/peer/src/peer_connection.hpp
@@ -25,6 +25,7 @@
     /// Takes ownership of the descriptor. The budgets must outlive the
     /// connection.
     peer_connection(int descriptor, peer_budgets& budgets);
+    ~peer_connection();
 
     peer_connection(const peer_connection&) = delete;
     peer_connection& operator=(const peer_connection&) = delete;
@@ -71,6 +72,7 @@
     void announce(std::int32_t stream, std::size_t bytes);
     void request_room(std::int32_t stream, large_message& message);
     void admit(std::int32_t stream);
+    void forget(std::int32_t stream);
 
     peer_budgets& budgets_;
     /// What is held besides large messages.
--- a/libs/peer/test/peer_test.cpp
+++ b/libs/peer/test/peer_test.cpp
@@ -336,3 +336,28 @@
     CHECK(server.status().connections_ == max_connections);
     CHECK(server.status().connections_refused_ == 0);
 }
+
+TEST_CASE("a server ends while messages wait for room", "[peer]")
+{
+    ensure_application();
+    auto server = std::make_unique<peer_server>(
+        any_port, [](const QByteArray&, auto reply) { reply("accepted"); },
+        small_limits());
+    peer_link link({"127.0.0.1", server->port()});
+    bool is_verified = false;
+    link.send("x", 30s, [&](const auto& response) {
+        is_verified = response.has_value();
+    });
+    run_until([&] { return is_verified; });
+    int ended = 0;
+    constexpr int messages = 4;
+    for (int i = 0; i < messages; ++i)
+        link.send(QByteArray(8 * mebibyte, 'x'), 30s,
+                  [&](const auto&) { ++ended; });
+    // One pass of the event loop at a time: the transfers are fast.
+    while (server->status().held_bytes_ <= 8 * mebibyte && ended < messages)
+        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+    CHECK(ended < messages);
+    server.reset();
+    run_until([&] { return ended == messages; });
+}
