Internal port: connections that are reset at once take no places

Cause: a connection wrote its first frame in its constructor, before the server had set its callbacks.

Change: the server sets the callbacks and then starts the connection.

Evidence: "connections that are reset at once take no places" (peer.peer), eight resets at a limit of four: a message was not answered within 60 s before; now it is, and one connection is counted. The cases of untrusted_peers pass.

--- a/libs/peer/src/peer_connection.cpp
+++ b/libs/peer/src/peer_connection.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-peer_connection::peer_connection(int descriptor, peer_budgets& budgets)
+peer_connection::peer_connection(peer_budgets& budgets)
     : budgets_(budgets), session_(http2_session::side::server, socket_)
 {
     open_account();
@@ -33,6 +33,10 @@
     socket_.on_input_end_ = [this] { close(); };
     socket_.on_error_ = [this](const std::string&) { close(); };
     socket_.on_drained_ = [this] { update_account(); };
+}
+
+void peer_connection::start(int descriptor)
+{
     socket_.adopt(descriptor);
     session_.flush();
 }
--- a/libs/peer/src/peer_connection.hpp
+++ b/libs/peer/src/peer_connection.hpp
@@ -22,14 +22,16 @@
 class peer_connection
 {
   public:
-    /// Takes ownership of the descriptor. The budgets must outlive the
-    /// connection.
-    peer_connection(int descriptor, peer_budgets& budgets);
+    /// The budgets must outlive the connection.
+    explicit peer_connection(peer_budgets& budgets);
     ~peer_connection();
 
     peer_connection(const peer_connection&) = delete;
     peer_connection& operator=(const peer_connection&) = delete;
 
+    /// Takes ownership of a descriptor. May close the connection, so the
+    /// callbacks must be set.
+    void start(int descriptor);
     /// Responds to a message. A response with a body verifies the sender.
     void respond(std::int32_t stream, const std::optional<QByteArray>& body);
     /// Closes the socket and releases what is held. The object must live on
--- a/libs/peer/src/peer_server.cpp
+++ b/libs/peer/src/peer_server.cpp
@@ -47,7 +47,7 @@
     }
     std::uint64_t connection_id = ++next_connection_id_;
     auto& item = connections_[connection_id];
-    item = std::make_unique<peer_connection>(descriptor, *budgets_);
+    item = std::make_unique<peer_connection>(*budgets_);
     item->on_message_ = [this, connection_id](std::int32_t stream,
                                               QByteArray body) {
         ++received_messages_;
@@ -65,6 +65,7 @@
     item->on_closed_ = [this, connection_id] { remove(connection_id); };
     item->on_checks_needed_ = [this] { start_checks(); };
     start_checks();
+    item->start(descriptor);
 }
 
 // A daemon sends its first message as soon as it is connected, so the oldest
--- a/libs/peer/test/peer_test.cpp
+++ b/libs/peer/test/peer_test.cpp
@@ -7,6 +7,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace dandelioncrank;
 using namespace std::chrono_literals;
 
@@ -42,6 +47,21 @@
     return limits;
 }
 
+/// Connects and resets the connection at once.
+void connect_and_reset(int port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    REQUIRE(::connect(descriptor, reinterpret_cast<sockaddr*>(&address),
+                      sizeof address) == 0);
+    linger reset{1, 0};
+    ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    ::close(descriptor);
+}
+
 } // namespace
 
 TEST_CASE("responses are matched to their messages in any order", "[peer]")
@@ -361,3 +381,30 @@
     server.reset();
     run_until([&] { return ended == messages; });
 }
+
+// Connections that were reset before they were accepted kept their places.
+TEST_CASE("connections that are reset at once take no places", "[peer]")
+{
+    ensure_application();
+    constexpr std::size_t max_connections = 4;
+    peer_limits limits;
+    limits.connections_ = max_connections;
+    peer_server server(
+        any_port, [](QByteArray body, auto reply) { reply(body); }, limits);
+    for (std::size_t i = 0; i < 2 * max_connections; ++i)
+        connect_and_reset(server.port());
+    peer_link link({"127.0.0.1", server.port()});
+    bool is_answered = false;
+    bool is_waiting = false;
+    run_until([&] {
+        if (!is_answered && !is_waiting) {
+            is_waiting = true;
+            link.send("x", 2s, [&](const auto& response) {
+                is_answered = response.has_value();
+                is_waiting = false;
+            });
+        }
+        return is_answered;
+    });
+    CHECK(server.status().connections_ == 1);
+}
