--- a/review/third/test/standin.cpp
+++ b/review/third/test/standin.cpp
@@ -254,6 +254,24 @@
     return body.substr(at, end - at);
 }
 
+/// The bytes of a string that stands in JSON, as far as the cases use it.
+std::string to_hex(std::string text)
+{
+    const std::string escaped = "\\ufeff";
+    const std::string mark = "\xef\xbb\xbf";
+    for (auto at = text.find(escaped); at != std::string::npos;
+         at = text.find(escaped))
+        text.replace(at, escaped.size(), mark);
+    std::string result;
+    for (char item : text) {
+        char digits[3];
+        std::snprintf(digits, sizeof digits, "%02x",
+                      static_cast<unsigned>(static_cast<unsigned char>(item)));
+        result += digits;
+    }
+    return result;
+}
+
 std::int64_t number(const std::string& body, const std::string& name)
 {
     auto text = field(body, name);
@@ -485,6 +503,8 @@
         runs_[key] = {clock_ms()};
         note("run started: " + key.first + " run " +
              std::to_string(key.second));
+        note("its Spec in hexadecimal: " +
+             to_hex(field(body, "Spec").value_or("")));
         return plain(200);
     }
 
