--- a/review/third/test/cluster.sh
+++ b/review/third/test/cluster.sh
@@ -51,7 +51,7 @@
 # start_daemon NAME: the role's command with its settings file.
 start_daemon() {
     DANDELIONCRANK_SETTINGS="$WORK/$1.conf" \
-        DANDELIONCRANK_ZONES="z1,z2,z3" DANDELIONCRANK_MEMORY_MIB=256 \
+        DANDELIONCRANK_ZONES="z1,z2,z3,z4" DANDELIONCRANK_MEMORY_MIB=256 \
         "$DAEMON" >> "$WORK/$1.log" 2>&1 &
     PIDS[$1]=$!
 }
@@ -70,8 +70,10 @@
         -e "s|:9464|:$METRICS_PORT|" deploy/settings.tmpl > "$WORK/$1.conf"
 }
 
-# start_cluster: three control hosts and two entry hosts in three zones.
+# start_cluster [CONTROL_HOSTS ENTRY_HOSTS]: in as many zones as control hosts.
 start_cluster() {
+    local controls=${1:-3}
+    ENTRIES=${2:-2}
     [ -x "$DAEMON" ] && [ -x "$STANDIN" ] || give_up "nothing is built"
     read -r INTERNAL_PORT CONTROL_PORT CLIENT_PORT READY_PORT METRICS_PORT \
         MINION_PORT <<< "$("$STANDIN" ports 6)"
@@ -80,14 +82,14 @@
     for n in 1 2 3; do
         CONTROLS+="${CONTROLS:+,}$NET.1.$n:$CONTROL_PORT"
     done
-    for n in 1 2 3; do
+    for n in $(seq "$controls"); do
         mkdir -p "$WORK/data-$n"
         write_settings "control-$n" "z$n" "$NET.1.$n" \
             "$NET.1.$n:$CONTROL_PORT" "" "" "$WORK/data-$n"
         start_daemon "control-$n"
     done
-    for n in 1 2; do
-        write_settings "entry-$n" "z$n" "$NET.2.$n" "" \
+    for n in $(seq "$ENTRIES"); do
+        write_settings "entry-$n" "z$(((n - 1) % controls + 1))" "$NET.2.$n" "" \
             "$NET.2.$n:$CLIENT_PORT" "$NET.2.$n:$READY_PORT" ""
         start_daemon "entry-$n"
     done
@@ -108,16 +110,19 @@
     [ "${reply%% *}" = 200 ] || give_up "no ack of the desired state: $reply"
     say "operator: POST /config/replace, version 7 -> 200"
     for n in $(seq 100); do
-        [ "$(is_ready 1)$(is_ready 2)" = 200200 ] && return
+        are_ready && return
         sleep 0.1
     done
     give_up "the entry hosts are not ready"
 }
 
-is_ready() {
-    local reply
-    reply=$("$STANDIN" call GET "$NET.2.$1:$READY_PORT" /readyz time_ms=1000)
-    echo -n "${reply%% *}"
+are_ready() {
+    local reply n
+    for n in $(seq "$ENTRIES"); do
+        reply=$("$STANDIN" call GET "$NET.2.$n:$READY_PORT" /readyz \
+            time_ms=1000)
+        [ "${reply%% *}" = 200 ] || return 1
+    done
 }
 
 # start_minion N [name=value ...]
