--- a/apps/tool_client.cpp
+++ b/apps/tool_client.cpp
@@ -1,7 +1,8 @@
 #include "tool_client.hpp"
 
+#include "dandelioncrank/core/json.hpp"
+
 #include <QEventLoop>
-#include <QJsonDocument>
 #include <QNetworkReply>
 #include <QNetworkRequest>
 
@@ -26,8 +27,8 @@
 QNetworkRequest tool_client::make_request(const std::string& address,
                                           const QString& path) const
 {
-    QNetworkRequest result(QUrl(
-        QString("http://%1%2").arg(QString::fromStdString(address), path)));
+    QNetworkRequest result(
+        QUrl(QString("http://%1%2").arg(to_qt(address), path)));
     result.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
     if (!token_.empty())
         result.setRawHeader("Authorization",
@@ -46,7 +47,9 @@
     response.status_ =
         reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
     response.error_ = reply->errorString();
-    response.body_ = QJsonDocument::fromJson(reply->readAll()).object();
+    auto parsed = parse_json_object(reply->readAll().toStdString());
+    if (const auto* object = std::get_if<QJsonObject>(&parsed))
+        response.body_ = *object;
     return response;
 }
 
@@ -59,7 +62,7 @@
 {
     return await_response(
         network_.post(make_request(control_address_, path),
-                      QJsonDocument(body).toJson(QJsonDocument::Compact)));
+                      QByteArray::fromStdString(to_compact_json(body))));
 }
 
 tool_response tool_client::remove(const QString& path)
--- a/apps/tool_commands.cpp
+++ b/apps/tool_commands.cpp
@@ -1,5 +1,7 @@
 #include "tool_commands.hpp"
 
+#include "dandelioncrank/core/json.hpp"
+
 #include <QFile>
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -48,7 +50,7 @@
 std::string to_display_text(const QJsonValue& value)
 {
     if (value.isString())
-        return value.toString().toStdString();
+        return text_of(value).value_or(std::string());
     if (value.isBool())
         return value.toBool() ? "yes" : "no";
     if (value.isDouble())
@@ -99,8 +101,7 @@
     for (const QJsonValue& value : items) {
         std::vector<std::string> row;
         for (const std::string& column : columns)
-            row.push_back(to_display_text(
-                value.toObject()[QString::fromStdString(column)]));
+            row.push_back(to_display_text(value.toObject()[to_qt(column)]));
         rows.push_back(row);
     }
     std::vector<std::size_t> widths(columns.size(), 0);
@@ -145,16 +146,33 @@
     return tool_exit_code::success;
 }
 
-std::optional<QByteArray> read_file(const std::string& name)
+std::optional<std::string> read_file(const std::string& name)
 {
-    QFile file(QString::fromStdString(name));
+    QFile file(to_qt(name));
     if (!file.open(QIODevice::ReadOnly)) {
         std::cerr << name
                   << ": cannot be read: " << file.errorString().toStdString()
                   << '\n';
         return std::nullopt;
     }
-    return file.readAll();
+    return file.readAll().toStdString();
+}
+
+/// Reads a file of UTF-8 text. A byte order mark at its beginning says how it
+/// is encoded and is not part of the text.
+std::optional<QString> read_text_file(const std::string& name)
+{
+    auto bytes = read_file(name);
+    if (!bytes)
+        return std::nullopt;
+    if (!is_utf8(*bytes)) {
+        std::cerr << name << ": is not a text in UTF-8\n";
+        return std::nullopt;
+    }
+    QString text = to_qt(*bytes);
+    if (text.startsWith(QChar::ByteOrderMark))
+        text.remove(0, 1);
+    return text;
 }
 
 // --- Configuration
@@ -163,12 +181,11 @@
 {
     tool_exit_code overall = tool_exit_code::success;
     for (const std::string& name : context.arguments_) {
-        auto text = read_file(name);
+        auto text = read_text_file(name);
         if (!text)
             return tool_exit_code::usage_error;
         auto response = context.client_.post(
-            "/v1/config/check", {{"file", QString::fromStdString(name)},
-                                 {"text", QString::fromUtf8(*text)}});
+            "/v1/config/check", {{"file", to_qt(name)}, {"text", *text}});
         tool_exit_code result =
             report_result(context, response, [&name](const QJsonObject&) {
                 std::cout << name << ": valid\n";
@@ -199,14 +216,14 @@
 tool_exit_code submit_file(const command_context& context,
                            const std::string& name)
 {
-    auto text = read_file(name);
+    auto text = read_text_file(name);
     if (!text)
         return tool_exit_code::usage_error;
-    QString file_text = QString::fromUtf8(*text);
+    const QString& file_text = *text;
     // All attempts use the same id, so that a retry is not a new submit.
     QString id = context.options_.request_id_.empty()
                      ? QUuid::createUuid().toString(QUuid::WithoutBraces)
-                     : QString::fromStdString(context.options_.request_id_);
+                     : to_qt(context.options_.request_id_);
     std::optional<qint64> replaces = context.options_.replaces_;
     if (*replaces < 0)
         replaces = current_version(context, file_text);
@@ -215,12 +232,11 @@
                      "the daemon returned no configuration\n";
         return tool_exit_code::failed;
     }
-    QJsonObject request_body{
-        {"file", QString::fromStdString(name)},
-        {"text", file_text},
-        {"author", QString::fromStdString(context.options_.author_)},
-        {"request_id", id},
-        {"replaces", *replaces}};
+    QJsonObject request_body{{"file", to_qt(name)},
+                             {"text", file_text},
+                             {"author", to_qt(context.options_.author_)},
+                             {"request_id", id},
+                             {"replaces", *replaces}};
     tool_response response;
     for (int i = 0; i < max_submit_attempts; ++i) {
         response = context.client_.post("/v1/config/submit", request_body);
@@ -270,13 +286,13 @@
 tool_exit_code diff_config(const command_context& context)
 {
     const std::string& name = context.arguments_.front();
-    auto text = read_file(name);
+    auto text = read_text_file(name);
     if (!text)
         return tool_exit_code::usage_error;
     auto response = context.client_.get("/v1/config");
     if (exit_code_for(response.status_) != tool_exit_code::success)
         return report_error(response);
-    QString file_text = QString::fromUtf8(*text);
+    const QString& file_text = *text;
     QString first_line = file_text.section('\n', 0, 0).trimmed();
     QString subject = first_line.startsWith("budget:")
                           ? QString("budget")
@@ -328,10 +344,17 @@
 
 tool_exit_code submit_job(const command_context& context)
 {
-    auto text = read_file(context.arguments_.front());
+    const std::string& name = context.arguments_.front();
+    auto text = read_file(name);
     if (!text)
         return tool_exit_code::usage_error;
-    QJsonObject job = QJsonDocument::fromJson(*text).object();
+    auto parsed = parse_json_object(*text);
+    if (const auto* error = std::get_if<json_error>(&parsed)) {
+        std::cerr << name << ": " << error->cause_ << " at byte "
+                  << error->offset_ << '\n';
+        return tool_exit_code::usage_error;
+    }
+    QJsonObject job = std::get<QJsonObject>(parsed);
     if (!job.contains("id"))
         job["id"] = QUuid::createUuid().toString(QUuid::WithoutBraces);
     tool_response response;
@@ -348,7 +371,7 @@
 
 QString job_path(const command_context& context)
 {
-    return "/v1/jobs/" + QString::fromStdString(context.arguments_.front());
+    return "/v1/jobs/" + to_qt(context.arguments_.front());
 }
 
 tool_exit_code show_job(const command_context& context)
@@ -431,9 +454,8 @@
 tool_exit_code replace_voter(const command_context& context)
 {
     auto response = context.client_.post(
-        "/v1/voters/replace",
-        {{"old", QString::fromStdString(context.arguments_[0])},
-         {"new", QString::fromStdString(context.arguments_[1])}});
+        "/v1/voters/replace", {{"old", to_qt(context.arguments_[0])},
+                               {"new", to_qt(context.arguments_[1])}});
     return report_result(context, response, print_fields);
 }
 
@@ -446,11 +468,12 @@
                      "address\n";
         return tool_exit_code::failed;
     }
-    bool pretty = path == "/state";
-    std::cout << (pretty ? QJsonDocument::fromJson(*text).toJson(
-                               QJsonDocument::Indented)
-                         : *text)
-                     .toStdString();
+    auto parsed = parse_json_object(text->toStdString());
+    const auto* object = std::get_if<QJsonObject>(&parsed);
+    if (path == "/state" && object != nullptr)
+        print_json(*object);
+    else
+        std::cout << text->toStdString();
     return tool_exit_code::success;
 }
 
--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -2,6 +2,7 @@
 
 #include "client_service.hpp"
 #include "dandelioncrank/control/membership_planner.hpp"
+#include "dandelioncrank/core/json.hpp"
 #include "dandelioncrank/peer/peer_metrics.hpp"
 #include "dandelioncrank/peer/peer_server.hpp"
 #include "dandelioncrank/replica/replica.hpp"
@@ -16,7 +17,6 @@
 
 #include <QAbstractEventDispatcher>
 #include <QJsonArray>
-#include <QJsonDocument>
 #include <QJsonObject>
 #include <QRandomGenerator>
 #include <QTimer>
@@ -601,23 +601,23 @@
 {
     replica_status status = replica_->status();
     QJsonObject object;
-    object["host"] = QString::fromStdString(settings_.host_.str());
-    object["zone"] = QString::fromStdString(settings_.zone_.str());
-    object["role"] = QString::fromStdString(to_text(status.role_));
+    object["host"] = to_qt(settings_.host_.str());
+    object["zone"] = to_qt(settings_.zone_.str());
+    object["role"] = to_qt(to_text(status.role_));
     object["term"] = static_cast<qint64>(status.term_);
-    object["leader"] = QString::fromStdString(status.leader_.str());
+    object["leader"] = to_qt(status.leader_.str());
     object["commit"] = static_cast<qint64>(status.commit_);
     object["applied"] = static_cast<qint64>(replica_->applied());
     describe_pool(state(), *owner_, settings_.weight_limit_, object);
     QJsonArray voters;
     for (const voter_name& identity : status.members_.voters_)
-        voters.append(QString::fromStdString(identity.str()));
+        voters.append(to_qt(identity.str()));
     object["voters"] = voters;
     QJsonArray learners;
     for (const voter_name& identity : status.members_.learners_)
-        learners.append(QString::fromStdString(identity.str()));
+        learners.append(to_qt(identity.str()));
     object["learners"] = learners;
-    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+    return to_compact_json(object);
 }
 
 // --- Public interface
--- a/libs/control/src/entry_host.cpp
+++ b/libs/control/src/entry_host.cpp
@@ -2,9 +2,9 @@
 
 #include "call_queue.hpp"
 #include "config_order_checker.hpp"
+#include "dandelioncrank/core/json.hpp"
 #include "peer_registry.hpp"
 
-#include <QJsonDocument>
 #include <QJsonObject>
 #include <QTimer>
 
@@ -328,13 +328,13 @@
 std::string entry_host::implementation::describe() const
 {
     QJsonObject object;
-    object["host"] = QString::fromStdString(settings_.host_.str());
-    object["zone"] = QString::fromStdString(settings_.zone_.str());
-    object["leader"] = QString::fromStdString(leader_);
+    object["host"] = to_qt(settings_.host_.str());
+    object["zone"] = to_qt(settings_.zone_.str());
+    object["leader"] = to_qt(leader_);
     object["ready"] = is_ready();
     object["control_hosts"] =
         static_cast<qint64>(peers_.control_hosts().size());
-    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+    return to_compact_json(object);
 }
 
 // --- Public interface
--- a/libs/control/src/loss_description.cpp
+++ b/libs/control/src/loss_description.cpp
@@ -1,5 +1,7 @@
 #include "loss_description.hpp"
 
+#include "dandelioncrank/core/json.hpp"
+
 #include <QJsonObject>
 
 namespace dandelioncrank::control {
@@ -19,9 +21,9 @@
                     static_cast<std::size_t>(result.size()) >= max_listed)
                     continue;
                 QJsonObject entry;
-                entry["task"] = QString::fromStdString(
+                entry["task"] = to_qt(
                     pool::to_text(pool::task_ref{job.spec_.id_, k, s, index}));
-                entry["losses"] = QString::fromStdString(to_text(losses));
+                entry["losses"] = to_qt(to_text(losses));
                 result.append(entry);
             }
         }
@@ -35,8 +37,8 @@
     QJsonArray result;
     for (const pool::job_record* job : state.given_up_jobs(max_listed)) {
         QJsonObject entry;
-        entry["job"] = QString::fromStdString(job->spec_.id_.str());
-        entry["reason"] = QString::fromStdString(job->failure_);
+        entry["job"] = to_qt(job->spec_.id_.str());
+        entry["reason"] = to_qt(job->failure_);
         result.append(entry);
     }
     return result;
--- a/libs/control/src/pool_report.cpp
+++ b/libs/control/src/pool_report.cpp
@@ -1,5 +1,6 @@
 #include "pool_report.hpp"
 
+#include "dandelioncrank/core/json.hpp"
 #include "loss_description.hpp"
 #include "speed_description.hpp"
 
@@ -45,7 +46,7 @@
         owner.summarize_worker_speeds(max_listed_speeds));
     QJsonArray evacuated;
     for (const zone_name& zone : state.evacuated_zones())
-        evacuated.append(QString::fromStdString(zone.str()));
+        evacuated.append(to_qt(zone.str()));
     object["evacuated_zones"] = evacuated;
 }
 
--- a/libs/control/src/speed_description.cpp
+++ b/libs/control/src/speed_description.cpp
@@ -1,5 +1,7 @@
 #include "speed_description.hpp"
 
+#include "dandelioncrank/core/json.hpp"
+
 #include <QJsonArray>
 
 #include <cmath>
@@ -21,7 +23,7 @@
     QJsonArray result;
     for (const auto& [worker, speed] : list) {
         QJsonObject entry;
-        entry["worker"] = QString::fromStdString(worker.str());
+        entry["worker"] = to_qt(worker.str());
         entry["speed"] = round_speed(speed);
         result.append(entry);
     }
--- a/libs/node/src/control_api.cpp
+++ b/libs/node/src/control_api.cpp
@@ -4,6 +4,8 @@
 
 #include <QTimer>
 
+#include <array>
+
 namespace dandelioncrank {
 
 namespace {
@@ -16,6 +18,27 @@
 constexpr duration history_timeout = 4s;
 constexpr std::string_view history_path = "/v1/config/history";
 
+// Fields of the calls that change the configuration or the voters.
+constexpr std::array text_fields = {"file",       "text", "author",
+                                    "request_id", "old",  "new"};
+
+/// Returns the name of a field whose value is not a text; empty if there is
+/// none.
+std::string find_invalid_text(const QJsonObject& body)
+{
+    for (const char* field : text_fields) {
+        if (body.contains(field) && !text_of(body.value(field)))
+            return field;
+    }
+    return {};
+}
+
+/// Returns the text of a field; empty if the field is absent.
+std::string read_text(const QJsonObject& body, const char* field)
+{
+    return text_of(body.value(field)).value_or(std::string());
+}
+
 struct submitted_text
 {
     std::string subject_;
@@ -25,8 +48,8 @@
 std::optional<submitted_text> parse_submitted_text(const QJsonObject& body)
 {
     submitted_text result;
-    result.text_.name_ = body.value("file").toString().toStdString();
-    result.text_.body_ = body.value("text").toString().toStdString();
+    result.text_.name_ = read_text(body, "file");
+    result.text_.body_ = read_text(body, "text");
     result.subject_ = text_subject(result.text_);
     if (result.subject_.empty())
         return std::nullopt;
@@ -117,8 +140,13 @@
               path == "/v1/endpoints/announce" ||
               path == "/v1/voters/replace")) {
         auto object = parse_object(body);
+        std::string invalid_field =
+            object ? find_invalid_text(*object) : std::string();
         if (!object)
             on_reply(make_error_response(400, "the body is no JSON object"));
+        else if (!invalid_field.empty())
+            on_reply(make_error_response(
+                400, invalid_field + " is not a string of Unicode characters"));
         else if (path == "/v1/config/check")
             check_config(*object, on_reply);
         else if (path == "/v1/config/submit")
@@ -138,8 +166,7 @@
 {
     auto item = parse_submitted_text(body);
     std::string subject = item ? item->subject_ : "?";
-    config_text text{body.value("file").toString().toStdString(),
-                     body.value("text").toString().toStdString()};
+    config_text text{read_text(body, "file"), read_text(body, "text")};
     findings faults =
         check_texts(config_.with_replaced(subject, text)).findings_;
     if (!faults.empty()) {
@@ -159,9 +186,8 @@
         return;
     }
     submit_config change;
-    change.request_ =
-        request_id(body.value("request_id").toString().toStdString());
-    change.author_ = body.value("author").toString().toStdString();
+    change.request_ = request_id(read_text(body, "request_id"));
+    change.author_ = read_text(body, "author");
     change.change_.subject_ = item->subject_;
     change.change_.replaces_ =
         static_cast<std::uint64_t>(body.value("replaces").toInteger(0));
@@ -340,8 +366,8 @@
             421, {{"error", "ask the leader"}, {"leader", to_qt(leader)}}));
         return;
     }
-    voter_name old(body.value("old").toString().toStdString());
-    voter_name next(body.value("new").toString().toStdString());
+    voter_name old(read_text(body, "old"));
+    voter_name next(read_text(body, "new"));
     bool accepted =
         !next.empty() && voter_->replace_voter(old, next, {}, steady_now());
     if (accepted)
--- a/libs/node/src/json_conversion.cpp
+++ b/libs/node/src/json_conversion.cpp
@@ -1,7 +1,5 @@
 #include "json_conversion.hpp"
 
-#include <QJsonDocument>
-
 namespace dandelioncrank {
 
 namespace {
@@ -24,8 +22,8 @@
         QJsonValue value = object_.value(key);
         if (value.isUndefined() && !required)
             return default_value;
-        std::string result = value.toString().toStdString();
-        if (!value.isString() || result.empty() || result.size() > 200)
+        std::string result = text_of(value).value_or(std::string());
+        if (result.empty() || result.size() > 200)
             add_error(key, "a text of up to 200 letters");
         return result;
     }
@@ -98,24 +96,17 @@
 
 } // namespace
 
-QString to_qt(const std::string& text)
-{
-    return QString::fromStdString(text);
-}
-
 std::optional<QJsonObject> parse_object(const std::string& body)
 {
-    QJsonDocument document =
-        QJsonDocument::fromJson(QByteArray::fromStdString(body));
-    if (!document.isObject())
+    auto result = parse_json_object(body);
+    if (std::holds_alternative<json_error>(result))
         return std::nullopt;
-    return document.object();
+    return std::get<QJsonObject>(std::move(result));
 }
 
 std::string serialize_json(const QJsonObject& object)
 {
-    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString() +
-           '\n';
+    return to_compact_json(object) + '\n';
 }
 
 http_response make_json_response(int status, const QJsonObject& object)
--- a/libs/node/src/json_conversion.hpp
+++ b/libs/node/src/json_conversion.hpp
@@ -1,21 +1,19 @@
 #pragma once
 
 #include "dandelioncrank/core/finding.hpp"
+#include "dandelioncrank/core/json.hpp"
 #include "dandelioncrank/dissemination/gossip_message.hpp"
 #include "dandelioncrank/http/http_message.hpp"
 #include "dandelioncrank/scheduling/zone_scheduler.hpp"
 #include "dandelioncrank/state/config_store.hpp"
 
 #include <QJsonArray>
-#include <QJsonObject>
 
 #include <optional>
 #include <string>
 
 namespace dandelioncrank {
 
-[[nodiscard]] QString to_qt(const std::string& text);
-
 /// Parses a body; returns nullopt if it is not a JSON object.
 [[nodiscard]] std::optional<QJsonObject> parse_object(const std::string& body);
 
--- a/libs/node/test/control_api_test.cpp
+++ b/libs/node/test/control_api_test.cpp
@@ -48,10 +48,14 @@
     {
     }
 
-    http_response ask(const std::string& target)
+    http_response ask(const std::string& target,
+                      const std::string& method = "GET",
+                      const std::string& body = {})
     {
         http_request request;
+        request.method_ = method;
         request.target_ = target;
+        request.body_ = body;
         std::optional<http_response> response;
         api_.handle(request, [&](http_response answer) { response = answer; });
         run_until([&] { return response.has_value(); });
@@ -114,3 +118,20 @@
     CHECK(response.status_ == 200);
     CHECK(response.body_.find("\"ana\"") != std::string::npos);
 }
+
+// Guards against texts that are accepted and changed: a lone surrogate became
+// "?" in the configuration that is in force everywhere.
+TEST_CASE("a submitted text that is no Unicode text is refused",
+          "[control_api]")
+{
+    single_host host(1);
+    for (const char* field : {"file", "text", "author", "request_id"}) {
+        http_response response =
+            host.ask("/v1/config/submit", "POST",
+                     "{\"" + std::string(field) + R"(":"a\ud800"})");
+        INFO(response.body_);
+        CHECK(response.status_ == 400);
+        CHECK(response.body_.find(std::string(field) + " is not a string") !=
+              std::string::npos);
+    }
+}
--- a/libs/node/test/json_conversion_test.cpp
+++ b/libs/node/test/json_conversion_test.cpp
@@ -102,3 +102,27 @@
         CHECK_THROWS_AS(sequence_from_json(object, 12), findings_error);
     }
 }
+
+// Guards against names that lose a byte order mark (review/14), or that become
+// others since they are no Unicode texts.
+TEST_CASE("a name stays as it is or is a finding", "[json_conversion]")
+{
+    auto endpoint_named = [](const std::string& name) {
+        auto object = parse_object(
+            R"({"name":")" + name +
+            R"(","service":"s","zone":"z","address":"127.0.0.1:1"})");
+        REQUIRE(object);
+        return endpoint_from_json(*object).name_.str();
+    };
+    CHECK(endpoint_named("\xEF\xBB\xBF"
+                         "e") == "\xEF\xBB\xBF"
+                                 "e");
+    CHECK(endpoint_named(R"(\ufeffe)") == "\xEF\xBB\xBF"
+                                          "e");
+    CHECK_THROWS_AS(endpoint_named(R"(e\ud800)"), findings_error);
+    auto written = parse_object(serialize_json({{"name", to_qt("\xEF\xBB\xBF"
+                                                               "e")}}));
+    REQUIRE(written);
+    CHECK(text_of(written->value("name")) == "\xEF\xBB\xBF"
+                                             "e");
+}
--- a/libs/storage/src/data_directory.cpp
+++ b/libs/storage/src/data_directory.cpp
@@ -1,5 +1,6 @@
 #include "dandelioncrank/storage/data_directory.hpp"
 
+#include "dandelioncrank/core/json.hpp"
 #include "dandelioncrank/storage/storage_error.hpp"
 
 #include <QFile>
@@ -90,7 +91,7 @@
 std::optional<QByteArray>
 data_directory::read_file(const std::string& name) const
 {
-    QFile source(QString::fromStdString(file_path(name)));
+    QFile source(to_qt(file_path(name)));
     if (!source.exists())
         return std::nullopt;
     if (!source.open(QIODevice::ReadOnly))
--- a/libs/storage/src/record_log.cpp
+++ b/libs/storage/src/record_log.cpp
@@ -1,5 +1,6 @@
 #include "dandelioncrank/storage/record_log.hpp"
 
+#include "dandelioncrank/core/json.hpp"
 #include "dandelioncrank/core/wire.hpp"
 #include "dandelioncrank/storage/storage_error.hpp"
 
@@ -97,7 +98,7 @@
 
 void record_log::load()
 {
-    QFile source(QString::fromStdString(path_));
+    QFile source(to_qt(path_));
     if (!source.open(QIODevice::ReadOnly))
         throw storage_error(path_, 0, source.errorString().toStdString(),
                             "check the permissions of the file");
--- a/tools/daemon_client.cpp
+++ b/tools/daemon_client.cpp
@@ -1,6 +1,6 @@
 #include "daemon_client.hpp"
 
-#include <QJsonDocument>
+#include "dandelioncrank/core/json.hpp"
 
 #include <cstdlib>
 #include <iostream>
@@ -24,8 +24,7 @@
     request.headers_.add("Content-Type", "application/json");
     if (!token_.empty())
         request.headers_.add("Authorization", "Bearer " + token_);
-    request.body_ =
-        QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString();
+    request.body_ = to_compact_json(body);
     auto* connection = new client_connection(target, http_limits{});
     connection->send(
         request, timeout,
@@ -39,9 +38,9 @@
                 on_response(std::nullopt);
                 return;
             }
-            on_response(QJsonDocument::fromJson(QByteArray::fromStdString(
-                                                    answered->response_.body_))
-                            .object());
+            auto parsed = parse_json_object(answered->response_.body_);
+            const auto* object = std::get_if<QJsonObject>(&parsed);
+            on_response(object != nullptr ? *object : QJsonObject());
         });
 }
 
--- a/tools/endpoint_standin.cpp
+++ b/tools/endpoint_standin.cpp
@@ -3,6 +3,7 @@
 #include "daemon_client.hpp"
 #include "stop_signal.hpp"
 
+#include "dandelioncrank/core/json.hpp"
 #include "dandelioncrank/http/http_server.hpp"
 
 #include <QCoreApplication>
@@ -80,9 +81,9 @@
     void announce()
     {
         QJsonObject body{
-            {"name", QString::fromStdString(name_)},
-            {"service", QString::fromStdString(absl::GetFlag(FLAGS_service))},
-            {"zone", QString::fromStdString(absl::GetFlag(FLAGS_zone))},
+            {"name", to_qt(name_)},
+            {"service", to_qt(absl::GetFlag(FLAGS_service))},
+            {"zone", to_qt(absl::GetFlag(FLAGS_zone))},
             {"address", QString("127.0.0.1:%1").arg(server_.port())},
             {"slots", absl::GetFlag(FLAGS_slots)},
             {"connections", std::max(64, 2 * absl::GetFlag(FLAGS_slots))},
--- a/tools/worker_standin.cpp
+++ b/tools/worker_standin.cpp
@@ -3,6 +3,7 @@
 #include "daemon_client.hpp"
 #include "stop_signal.hpp"
 
+#include "dandelioncrank/core/json.hpp"
 #include "dandelioncrank/scheduling/scheduling_types.hpp"
 
 #include <QCoreApplication>
@@ -110,15 +111,15 @@
     {
         QJsonArray parts;
         for (const auto& [gang, item] : parts_) {
-            parts.append(QJsonObject{
-                {"job", QString::fromStdString(gang.job_.str())},
-                {"attempt", static_cast<qint64>(gang.attempt_)},
-                {"state", QString::fromStdString(to_text(item.state_))},
-                {"tasks", item.tasks_},
-                {"accelerators", item.accelerators_}});
+            parts.append(
+                QJsonObject{{"job", to_qt(gang.job_.str())},
+                            {"attempt", static_cast<qint64>(gang.attempt_)},
+                            {"state", to_qt(to_text(item.state_))},
+                            {"tasks", item.tasks_},
+                            {"accelerators", item.accelerators_}});
         }
-        return {{"name", QString::fromStdString(name_)},
-                {"rack", QString::fromStdString(rack_)},
+        return {{"name", to_qt(name_)},
+                {"rack", to_qt(rack_)},
                 {"accelerators", absl::GetFlag(FLAGS_accelerators)},
                 {"processors", absl::GetFlag(FLAGS_processors)},
                 {"memory_mb", absl::GetFlag(FLAGS_memory_mb)},
@@ -162,7 +163,7 @@
             return;
         last_applied_command_ = number;
         gang_key gang{
-            job_id(command["job"].toString().toStdString()),
+            job_id(text_of(command["job"]).value_or(std::string())),
             static_cast<std::uint64_t>(command["attempt"].toInteger())};
         QString kind = command["kind"].toString();
         if (kind == "hold")
