Pool: a worker that refuses hold calls is logged and counted

Cause: nothing told a worker that answers each call with a refusal from one whose runs go on: review/11 has no line in the log while its task waits.

Change: a line at the first refused hold call with the verdict and the number of runs, one when the worker accepts them again, and the counter workers_refusing_holds. No decision changes.

--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -199,6 +199,9 @@
     [[nodiscard]] static bool has_effect(const open_call& call);
     void handle_hold_answer(const hold_call& call, const call_answer& answer,
                             instant sent_at, instant now, owner_output& out);
+    /// Logs the first of several refused hold calls, and the first one that is
+    /// not refused any more.
+    void report_refusal(call_verdict verdict, instant now, owner_output& out);
     void reconcile(const call_answer& answer, instant sent_at, instant now,
                    owner_output& out);
     /// Stops runs that are listed and not in the state. Unless the listing is
@@ -268,6 +271,8 @@
     /// When the first of these was lost, and whether by a closed connection.
     instant contact_lost_at_{};
     bool was_closed_ = false;
+    /// Since when the worker has refused hold calls, while it does.
+    std::optional<instant> refusing_since_;
     /// Why its incarnation ended, once that was judged.
     std::optional<loss_verdict> verdict_;
     /// A later owner has called the worker. After a restart the worker has
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -280,6 +280,7 @@
                                                     instant now,
                                                     owner_output& out)
 {
+    report_refusal(answer.verdict_, now, out);
     if (answer.verdict_ != call_verdict::done) {
         acked_cursor_ = 0;
         next_hold_at_ = now + timing_.call_timeout_;
@@ -329,6 +330,30 @@
     reconcile(answer, sent_at, now, out);
 }
 
+void pool_owner::worker_session::report_refusal(call_verdict verdict,
+                                                instant now, owner_output& out)
+{
+    bool is_refused = verdict != call_verdict::done;
+    if (is_refused == refusing_since_.has_value())
+        return;
+    std::string text = "worker " + worker_.str();
+    if (is_refused) {
+        refusing_since_ = now;
+        out.events_.push_back({worker_.str(),
+                               text + " refuses hold calls with " +
+                                   std::to_string(runs_.size()) +
+                                   " runs: " + to_text(verdict),
+                               "workers_refusing_holds"});
+        return;
+    }
+    auto time =
+        std::chrono::floor<std::chrono::milliseconds>(now - *refusing_since_);
+    refusing_since_.reset();
+    out.events_.push_back(
+        {worker_.str(), text + " accepts hold calls again after " +
+                            std::to_string(time.count()) + " ms"});
+}
+
 void pool_owner::worker_session::update_stray_runs(std::set<run_ref> runs,
                                                    bool replaces, instant now,
                                                    owner_output& out)
