--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -26,7 +26,8 @@
 // Age of an announcement up to which an unguarded worker gets starts: two
 // intervals between announcements.
 constexpr duration max_capacity_age = 3s;
-// How long the listings of a worker may leave rows out: some pages of outcomes.
+// How long the listings of a worker may leave rows out, some pages of outcomes,
+// or be refused.
 constexpr duration max_incomplete_time = 2s;
 // Maximum number of runs named in a log message.
 constexpr std::size_t max_logged_runs = 8;
@@ -42,9 +43,9 @@
       worker_(std::move(worker)), incarnation_(incarnation), opened_at_(now),
       clock_request_at_(now + clock_wait), last_contact_at_(now)
 {
-    lease_end_ = now + longest_lease_time();
+    settled_lease_end_ = now + longest_lease_time();
     if (is_inherited)
-        lease_end_ += timing_.replaced_owner_time_;
+        settled_lease_end_ += timing_.replaced_owner_time_;
     awaits_listing_ = !is_inherited;
     for (const run_ref& run : state_.runs_on(worker_)) {
         run_entry entry;
@@ -91,15 +92,28 @@
            lease_margin;
 }
 
-std::int64_t pool_owner::worker_session::grant_lease(instant now,
-                                                     duration lease)
+std::int64_t pool_owner::worker_session::lease_until(instant now,
+                                                     duration lease) const
 {
-    auto longest = std::chrono::duration_cast<duration>(lease * clock_drift);
-    lease_end_ = std::max(lease_end_, now + longest + lease_margin);
     auto lease_ms = std::chrono::floor<std::chrono::milliseconds>(lease);
     return clock_at(now) + lease_ms.count();
 }
 
+instant pool_owner::worker_session::latest_lease_end(instant now,
+                                                     duration lease)
+{
+    return now + std::chrono::duration_cast<duration>(lease * clock_drift) +
+           lease_margin;
+}
+
+instant pool_owner::worker_session::lease_end() const
+{
+    instant result = settled_lease_end_;
+    for (const auto& item : calls_)
+        result = std::max(result, item.second.lease_end_);
+    return result;
+}
+
 bool pool_owner::worker_session::is_usable(instant now) const
 {
     bool is_responsive =
@@ -108,8 +122,8 @@
                    now - last_failure_at_ > timing_.quarantine_;
     return is_responsive && is_capacity_known(now) && trusted && clock_ms_ &&
            now >= backoff_until_ && !retire_deadline_ && !is_replaced_ &&
-           !is_fenced_ && can_list_runs(now) && knows_all_runs(now) &&
-           !is_evacuated();
+           !is_fenced_ && !refusing_since_ && can_list_runs(now) &&
+           knows_all_runs(now) && !is_evacuated();
 }
 
 // A stray run takes resources until it has ended.
@@ -128,7 +142,10 @@
 
 bool pool_owner::worker_session::can_list_runs(instant now) const
 {
-    return !incomplete_since_ || now - *incomplete_since_ < max_incomplete_time;
+    auto is_recent = [now](const std::optional<instant>& since) {
+        return !since || now - *since < max_incomplete_time;
+    };
+    return is_recent(incomplete_since_) && is_recent(refusing_since_);
 }
 
 // A worker that guards its capacity rejects what does not fit. For others, the
@@ -262,7 +279,7 @@
 void pool_owner::worker_session::propose_lapsed_run_ends(instant now,
                                                          owner_output& out)
 {
-    if (now <= lease_end_)
+    if (now <= lease_end())
         return;
     for (auto& [run, entry] : runs_) {
         if (entry.phase_ != run_phase::unsent && may_propose_end(entry, now)) {
@@ -352,7 +369,7 @@
     // Outcomes reported before are recorded first. A worker that is merely out
     // of reach may go on, so its runs end with their lease.
     bool may_have_runs =
-        !runs_.empty() || (now <= lease_end_ && !knows_all_runs(now));
+        !runs_.empty() || (now <= lease_end() && !knows_all_runs(now));
     if (may_have_runs && !has_left_)
         return;
     next_incarnation_end_ = now + proposal_interval;
@@ -424,7 +441,8 @@
                                              owner_output& out)
 {
     withhold_if_evacuated(run, entry, out);
-    if (entry.call_id_ || now < entry.next_attempt_at_ || now > lease_end_ + 1h)
+    if (entry.call_id_ || now < entry.next_attempt_at_ ||
+        now > lease_end() + 1h)
         return;
     if (is_fenced_ && entry.phase_ != run_phase::unsent)
         return;
@@ -465,7 +483,7 @@
     // A start grants a lease. Leases that may never arrive would postpone
     // forever the time at which the run has certainly ended, so hold calls
     // probe the worker first.
-    bool is_lost = lost_calls_ >= max_lost_calls;
+    bool is_lost = lost_calls_ >= max_lost_calls || refusing_since_;
     if (is_lost && entry.phase_ == run_phase::unsent)
         desired = false;
     if (!desired && entry.phase_ == run_phase::unsent) {
@@ -483,11 +501,11 @@
     if (!desired || !to_send || !clock_ms_ || is_lost || must_wait)
         return;
     entry.phase_ = run_phase::unconfirmed;
-    start_call request{
-        run, job.spec_.payload_, state_.checkpoint_of(run.task_),
-        grant_lease(now, std::min(timing_.lease_, timing_.start_lease_))};
-    entry.call_id_ =
-        send(std::move(request), timing_.call_timeout_, now, next_call, out);
+    duration lease = std::min(timing_.lease_, timing_.start_lease_);
+    start_call request{run, job.spec_.payload_, state_.checkpoint_of(run.task_),
+                       lease_until(now, lease)};
+    entry.call_id_ = send(std::move(request), timing_.call_timeout_, now,
+                          next_call, out, latest_lease_end(now, lease));
 }
 
 void pool_owner::worker_session::advance_hold(instant now,
@@ -509,7 +527,7 @@
     // Starts carry a lease end by the worker's clock.
     bool needs_clock = !clock_ms_ && now > clock_request_at_;
     bool is_due = has_runs || must_acknowledge || hold_requested_ ||
-                  needs_clock || is_watched(now);
+                  needs_clock || refusing_since_ || is_watched(now);
     if (now < next_hold_at_ || !is_due)
         return;
     // Wait for outcomes being committed: the next hold acknowledges them.
@@ -517,7 +535,8 @@
         proposed_cursor_ > cursor && now - proposed_at_ < proposal_interval;
     if (is_committing || (hold_call_id_ && !hold_requested_))
         return;
-    bool must_know = hold_requested_ || !is_in_contact;
+    bool must_know = hold_requested_ || !is_in_contact || is_lease_uncertain_ ||
+                     refusing_since_;
     for (const auto& item : runs_)
         must_know = must_know || item.second.phase_ == run_phase::inherited;
     hold_call call{is_in_contact ? cursor : 0, std::nullopt, duration::zero()};
@@ -527,21 +546,25 @@
     bool may_renew = !is_fenced_ && !retire_deadline_ && can_list_runs(now);
     // A lease that may never arrive would postpone the time at which the runs
     // have certainly ended.
-    if (has_runs && is_in_contact && clock_ms_ && may_renew)
-        call.lease_until_ms_ = grant_lease(now, timing_.lease_);
+    instant lease_end{};
+    if (has_runs && is_in_contact && !is_lease_uncertain_ && clock_ms_ &&
+        may_renew) {
+        call.lease_until_ms_ = lease_until(now, timing_.lease_);
+        lease_end = latest_lease_end(now, timing_.lease_);
+    }
     hold_requested_ = false;
     acked_cursor_ = call.outcome_cursor_;
     duration timeout = call.wait_ + timing_.call_timeout_;
-    hold_call_id_ = send(call, timeout, now, next_call, out);
+    hold_call_id_ = send(call, timeout, now, next_call, out, lease_end);
 }
 
 std::uint64_t pool_owner::worker_session::send(
     std::variant<start_call, stop_call, hold_call> what, duration timeout,
-    instant now, std::uint64_t& next_call, owner_output& out)
+    instant now, std::uint64_t& next_call, owner_output& out, instant lease_end)
 {
     std::uint64_t id = next_call++;
     std::uint64_t token = tokens_.token_for(worker_);
-    calls_.emplace(id, open_call{what, info().address_, now, token});
+    calls_.emplace(id, open_call{what, info().address_, now, token, lease_end});
     out.calls_.push_back({id, worker_, incarnation_, info().address_, token,
                           std::move(what), timeout});
     return id;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -65,7 +65,7 @@
     /// not start until these have ended.
     [[nodiscard]] std::set<run_ref> stray_runs(instant now) const
     {
-        return now > lease_end_ ? std::set<run_ref>() : listed_unknown_;
+        return now > lease_end() ? std::set<run_ref>() : listed_unknown_;
     }
     /// Returns, once each, runs that the worker has confirmed while nothing in
     /// the state showed that their job had started.
@@ -167,6 +167,8 @@
         std::string address_;
         instant sent_at_{};
         std::uint64_t token_ = 0;
+        /// Latest end of the lease that it grants; the epoch if it grants none.
+        instant lease_end_{};
     };
 
     void advance_run(const run_ref& run, run_entry& entry, instant now,
@@ -184,7 +186,10 @@
     [[nodiscard]] bool may_propose_incarnation_end(instant now) const;
     std::uint64_t send(std::variant<start_call, stop_call, hold_call> what,
                        duration timeout, instant now, std::uint64_t& next_call,
-                       owner_output& out);
+                       owner_output& out, instant lease_end = {});
+    /// Takes note of whether a call that has its result may have granted its
+    /// lease.
+    void settle_lease(const open_call& call, const call_result& result);
     void handle_lost_call(const open_call& call, const call_lost& lost,
                           instant now, owner_output& out);
     /// Sends a call again that a later one of this owner has overtaken.
@@ -242,10 +247,15 @@
     /// Whether a restart or the end of a run must be noticed soon on a worker
     /// without runs in the state.
     [[nodiscard]] bool is_watched(instant now) const;
-    /// Whether its listings have been whole, or not for long.
+    /// Whether its listings have been whole and not refused, or not for long.
     [[nodiscard]] bool can_list_runs(instant now) const;
     [[nodiscard]] std::int64_t clock_at(instant now) const;
-    [[nodiscard]] std::int64_t grant_lease(instant now, duration lease);
+    /// The end of a lease from now on, by the worker's clock.
+    [[nodiscard]] std::int64_t lease_until(instant now, duration lease) const;
+    /// Latest end of such a lease, by this host's clock.
+    [[nodiscard]] static instant latest_lease_end(instant now, duration lease);
+    /// Latest end of any lease of this worker, by this host's clock.
+    [[nodiscard]] instant lease_end() const;
     /// Time after which any lease of the worker has ended by this host's clock.
     [[nodiscard]] duration longest_lease_time() const;
     [[nodiscard]] const worker_info& info() const;
@@ -263,8 +273,12 @@
     instant clock_read_at_{};
     /// When its capacity was last announced to this owner.
     std::optional<instant> announced_at_;
-    /// Latest end of any lease of this worker, by this host's clock.
-    instant lease_end_{};
+    /// Latest end of the leases that the worker may hold from calls that are
+    /// not open any more.
+    instant settled_lease_end_{};
+    /// A call without an answer may have granted a lease, and the worker has
+    /// not accepted a call since.
+    bool is_lease_uncertain_ = false;
     instant last_contact_at_{};
     /// Number of calls lost since the last answer.
     int lost_calls_ = 0;
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -29,6 +29,7 @@
         return;
     open_call call = std::move(found->second);
     calls_.erase(found);
+    settle_lease(call, result);
     if (hold_call_id_ == id)
         hold_call_id_.reset();
     for (auto& item : runs_) {
@@ -88,6 +89,24 @@
                call.operation_);
 }
 
+void pool_owner::worker_session::settle_lease(const open_call& call,
+                                              const call_result& result)
+{
+    const auto* answer = std::get_if<call_answer>(&result);
+    if (answer != nullptr && answer->verdict_ == call_verdict::done)
+        is_lease_uncertain_ = false;
+    // A worker that refuses a call in this way has done nothing for it. With
+    // other verdicts it may hold the lease of a start all the same.
+    bool has_no_effect = answer != nullptr
+                             ? answer->verdict_ == call_verdict::unhealthy ||
+                                   answer->verdict_ == call_verdict::fenced
+                             : std::get<call_lost>(result).certainly_not_sent_;
+    if (has_no_effect || call.lease_end_ == instant())
+        return;
+    settled_lease_end_ = std::max(settled_lease_end_, call.lease_end_);
+    is_lease_uncertain_ = is_lease_uncertain_ || answer == nullptr;
+}
+
 // The worker has done nothing for this call, since a call with a raised token
 // came first.
 void pool_owner::worker_session::repeat_overtaken(const open_call& call,
@@ -298,7 +317,8 @@
                  std::to_string(age.count()) + " ms after its registration: " +
                  std::to_string(answer.running_.size()) + " under way"});
         // A lease that was meant for an earlier incarnation may have arrived.
-        lease_end_ = std::max(lease_end_, now + longest_lease_time());
+        settled_lease_end_ =
+            std::max(settled_lease_end_, now + longest_lease_time());
     }
     if (awaits_listing_)
         next_hold_at_ = now + timing_.call_timeout_;
@@ -368,7 +388,8 @@
                                    "runs_listed_after_end"});
     }
     if (!runs.empty()) {
-        lease_end_ = std::max(lease_end_, now + longest_lease_time());
+        settled_lease_end_ =
+            std::max(settled_lease_end_, now + longest_lease_time());
         unknown_listed_at_ = now;
     }
     if (replaces) {
--- a/libs/pool/src/worker_session_successor.cpp
+++ b/libs/pool/src/worker_session_successor.cpp
@@ -68,12 +68,14 @@
         tokens_.raise(worker_);
     successor_token_ = tokens_.token_for(worker_);
     // Answers that are still under way may come from an earlier incarnation.
+    settled_lease_end_ = lease_end();
     calls_.clear();
     hold_call_id_.reset();
     next_hold_at_ = {};
     // A lease that arrives late ends by the clock of another incarnation.
     instant last_arrival = std::max(now, tokens_.late_until(worker_));
-    lease_end_ = std::max(lease_end_, last_arrival + longest_lease_time());
+    settled_lease_end_ =
+        std::max(settled_lease_end_, last_arrival + longest_lease_time());
 }
 
 // What the new incarnation may have taken is over once its listing rules it
@@ -88,7 +90,7 @@
     bool may_have_runs =
         std::any_of(runs_.begin(), runs_.end(),
                     [](const auto& item) { return may_exist(item.second); });
-    bool is_over = now > lease_end_ || (is_successor_clean_ && !may_have_runs);
+    bool is_over = now > lease_end() || (is_successor_clean_ && !may_have_runs);
     if (!is_over)
         return;
     next_incarnation_end_ = now + proposal_interval;
