Pool: a new owner does not count the leases of lost workers anew

Cause: a new owner counted the longest lease and the time of a replaced owner from its own beginning, also for workers that had been out of contact for seconds, and each further change of the owner began that anew.

Ruled out: a new owner that does not look at these workers (it logs them), and a lapse whose commit is held back (none is proposed).

Change: an owner that is out of contact with a worker commits that with the time left to its leases, and grants none until the return is committed. A successor counts from the moment at which it learnt of the record.

pool.held_commits, "the end was never taken in", says something else for a lapse: the run can't be renewed while it is undecided that its worker was out of contact, so it lapses for good and its next run starts, where run 1 went on. The check is as strict.

--- a/libs/control/src/control_host.cpp
+++ b/libs/control/src/control_host.cpp
@@ -205,6 +205,7 @@
     replica_->on_role_changed_ = [this] { role_changed(); };
     replica_->on_applied_ = [this] {
         owner_->state_changed();
+        owner_->observe_contacts(steady_now());
         group_->schedule_flush();
     };
     server_ = std::make_unique<peer_server>(
--- a/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_commands.hpp
@@ -4,6 +4,7 @@
 #include "dandelioncrank/pool/loss_record.hpp"
 #include "dandelioncrank/pool/pool_config.hpp"
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -208,11 +209,29 @@
     }
 };
 
+/// The owner is out of contact with a worker that may have runs, or in contact
+/// again. From the proposal of the first on, no owner grants the worker a lease
+/// until the second is committed.
+struct set_contact
+{
+    worker_name worker_;
+    std::int64_t incarnation_ = 0;
+    /// Time from the proposal after which no lease of the worker can last any
+    /// more; none if it is in contact.
+    std::optional<duration> lease_left_;
+
+    template <class Archive>
+    void fields(Archive& archive)
+    {
+        archive(worker_, incarnation_, lease_left_);
+    }
+};
+
 /// The order is that of the stored commands; new ones go last.
-using pool_command =
-    std::variant<accept_job, cancel_job, put_config, put_worker,
-                 end_incarnation, start_run, record_outcomes,
-                 end_unreported_run, confirm_start, set_evacuation>;
+using pool_command = std::variant<accept_job, cancel_job, put_config,
+                                  put_worker, end_incarnation, start_run,
+                                  record_outcomes, end_unreported_run,
+                                  confirm_start, set_evacuation, set_contact>;
 
 /// The commands of one log entry; applied in order.
 using pool_batch = std::vector<pool_command>;
--- a/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_owner.hpp
@@ -141,6 +141,10 @@
                        instant now);
     /// Must be called after each state change, before the next tick().
     void state_changed();
+    /// Must be called after each state change, also while another process owns
+    /// the pool: the leases of a worker that was out of contact with the owner
+    /// end by the time at which this process has learnt of that.
+    void observe_contacts(instant now);
     /// The starts of the last output have been applied or never will be.
     void starts_resolved();
     /// All observations of an output have been applied or never will be.
@@ -168,6 +172,16 @@
         std::optional<instant> logged_at_;
     };
 
+    /// What the state says of a worker that is out of contact.
+    struct observed_loss
+    {
+        std::int64_t incarnation_ = 0;
+        /// Which loss of contact it is.
+        std::uint64_t number_ = 0;
+        /// When this process has learnt of it.
+        instant observed_at_{};
+    };
+
     /// The first run of a job that a worker has confirmed.
     struct confirmed_start
     {
@@ -183,6 +197,12 @@
     void open_session(const worker_name& worker, std::int64_t incarnation,
                       instant now, bool is_inherited);
     void close_session(const worker_session& session, instant now);
+    /// When the leases that earlier owners may have granted to a worker have
+    /// ended, as far as the state tells.
+    [[nodiscard]] std::optional<instant>
+    recorded_lease_end(const worker_name& worker) const;
+    /// Logs the workers that were out of contact before this owner began.
+    void report_inherited_losses(instant now);
     /// Keeps what a worker has confirmed, once for each job.
     void note_confirmed_starts(worker_session& session);
     void note_sightings(worker_session& session);
@@ -228,6 +248,9 @@
     std::set<worker_name> due_;
     std::uint64_t seen_run_changes_ = 0;
     std::unordered_map<std::uint64_t, worker_name> calls_;
+    /// By the contact revision of the state that is noted with them.
+    std::map<worker_name, observed_loss> observed_losses_;
+    std::uint64_t observed_contact_revision_ = 0;
     std::map<job_id, instant> accepted_at_;
     /// Confirmed starts that the state does not show yet.
     std::map<job_id, confirmed_start> confirmed_starts_;
--- a/libs/pool/include/dandelioncrank/pool/pool_state.hpp
+++ b/libs/pool/include/dandelioncrank/pool/pool_state.hpp
@@ -102,12 +102,17 @@
     /// Runs of this incarnation that were given up when its lease expired;
     /// whether it had crashed under them shows when it is back.
     std::vector<exposed_run> lapsed_;
+    /// While an owner is out of contact with it: the time, from a moment before
+    /// the commit, after which no lease of it can last any more.
+    std::optional<duration> lease_left_;
+    /// How often that has been recorded.
+    std::uint64_t contact_losses_ = 0;
 
     template <class Archive>
     void fields(Archive& archive)
     {
         archive(info_, outcome_cursor_);
-        archive.appended(lapsed_);
+        archive.appended(lapsed_, lease_left_, contact_losses_);
     }
 };
 
@@ -142,6 +147,16 @@
     {
         return workers_;
     }
+    /// The workers with which an owner is out of contact.
+    [[nodiscard]] const std::set<worker_name>& out_of_contact() const
+    {
+        return out_of_contact_;
+    }
+    /// Incremented on each change of these; local to this replica.
+    [[nodiscard]] std::uint64_t contact_revision() const
+    {
+        return contact_revision_;
+    }
     /// Returns a worker that must exist; a failure names the call site.
     [[nodiscard]] const worker_record&
     worker_at(const worker_name& name, const char* file = __builtin_FILE(),
@@ -258,6 +273,7 @@
     pool_reply handle(const end_unreported_run& command);
     pool_reply handle(const confirm_start& command);
     pool_reply handle(const set_evacuation& command);
+    pool_reply handle(const set_contact& command);
 
     /// Whether a call to a route may name a job.
     [[nodiscard]] static bool is_named_by(const job_record& job,
@@ -358,6 +374,8 @@
     /// Waiting jobs that go by the name of a route, by that name.
     std::map<std::string, std::uint64_t> waiting_unbound_;
     std::map<service_name, std::uint64_t> workers_of_service_;
+    std::set<worker_name> out_of_contact_;
+    std::uint64_t contact_revision_ = 0;
     /// Number of jobs that go by the name of a route.
     std::uint64_t unbound_jobs_ = 0;
     std::set<job_id> active_;
--- a/libs/pool/src/pool_state.cpp
+++ b/libs/pool/src/pool_state.cpp
@@ -247,12 +247,31 @@
     count_worker(found->second.info_, -1);
     workers_.erase(found);
     ++workers_revision_;
+    if (out_of_contact_.erase(command.worker_) > 0)
+        ++contact_revision_;
     ended_incarnations_[command.worker_] = command.incarnation_;
     if (ended_incarnations_.size() > max_ended_incarnations)
         ended_incarnations_.erase(ended_incarnations_.begin());
     return pool_reply::applied;
 }
 
+pool_reply pool_state::handle(const set_contact& command)
+{
+    auto found = workers_.find(command.worker_);
+    if (found == workers_.end() ||
+        found->second.info_.incarnation_ != command.incarnation_)
+        return pool_reply::unchanged;
+    found->second.lease_left_ = command.lease_left_;
+    if (command.lease_left_) {
+        ++found->second.contact_losses_;
+        out_of_contact_.insert(command.worker_);
+    } else {
+        out_of_contact_.erase(command.worker_);
+    }
+    ++contact_revision_;
+    return pool_reply::applied;
+}
+
 // --- Runs
 
 bool pool_state::may_start(const job_record& job,
@@ -715,6 +734,7 @@
 void pool_state::restore(const QByteArray& bytes)
 {
     std::uint64_t workers_revision = workers_revision_;
+    std::uint64_t contact_revision = contact_revision_;
     std::uint64_t run_changes = run_changes_;
     std::uint64_t notice_count = notice_count_;
     bool is_refusing = is_refusing_;
@@ -723,6 +743,7 @@
     *this = from_wire<pool_state>(bytes);
     is_refusing_ = is_refusing;
     workers_revision_ = workers_revision + 1;
+    contact_revision_ = contact_revision + 1;
     notice_count_ = notice_count;
     // Every worker may have changed.
     run_changes_ = run_changes + 1;
@@ -738,6 +759,11 @@
     waiting_unbound_.clear();
     unbound_jobs_ = 0;
     recount_workers();
+    out_of_contact_.clear();
+    for (const auto& [name, record] : workers_) {
+        if (record.lease_left_)
+            out_of_contact_.insert(name);
+    }
     for (const queue_route& route : config_.routes_)
         queues_.try_emplace(route.address(),
                             queue_record{route.policy_, config_.version_});
--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -23,6 +23,9 @@
 constexpr duration max_removal_delay = 1500ms;
 // Number of consecutive lost calls from which no start is sent.
 constexpr int max_lost_calls = 3;
+// Number of consecutive lost calls from which a worker is out of contact for
+// its owner's successors.
+constexpr int recorded_lost_calls = 2;
 // Age of an announcement up to which an unguarded worker gets starts: two
 // intervals between announcements.
 constexpr duration max_capacity_age = 3s;
@@ -67,8 +70,8 @@
     last_contact_at_ = now;
     announced_at_ = now;
     // Without runs, nothing else would ask it for what has ended there.
-    hold_requested_ =
-        hold_requested_ || has_unread_outcomes_ || incomplete_since_;
+    hold_requested_ = hold_requested_ || has_unread_outcomes_ ||
+                      incomplete_since_ || may_be_recorded_lost();
     bool is_first = !clock_ms_;
     clock_ms_ = clock_ms;
     clock_read_at_ = now;
@@ -122,8 +125,8 @@
                    now - last_failure_at_ > timing_.quarantine_;
     return is_responsive && is_capacity_known(now) && trusted && clock_ms_ &&
            now >= backoff_until_ && !retire_deadline_ && !is_replaced_ &&
-           !is_fenced_ && !refusing_since_ && can_list_runs(now) &&
-           knows_all_runs(now) && !is_evacuated();
+           !is_fenced_ && !may_be_recorded_lost() && !refusing_since_ &&
+           can_list_runs(now) && knows_all_runs(now) && !is_evacuated();
 }
 
 // A stray run takes resources until it has ended.
@@ -241,6 +244,7 @@
     if (is_replaced_) {
         propose_replaced_end(now, out);
     } else {
+        propose_contact(now, out);
         propose_lapsed_run_ends(now, out);
         propose_incarnation_end(now, out);
     }
@@ -275,6 +279,61 @@
     }
 }
 
+bool pool_owner::worker_session::is_contact_undecided() const
+{
+    return std::any_of(contact_proposals_.begin(), contact_proposals_.end(),
+                       [this](std::uint64_t proposal) {
+                           return proposals_.is_undecided(proposal);
+                       });
+}
+
+bool pool_owner::worker_session::may_be_recorded_lost() const
+{
+    return state_.worker_at(worker_).lease_left_ || is_contact_undecided();
+}
+
+// A successor that knew nothing of the loss would count the leases from its own
+// beginning, and each further one again. A proposal may follow one that is
+// undecided: the log keeps their order.
+void pool_owner::worker_session::propose_contact(instant now, owner_output& out)
+{
+    if (now < next_contact_proposal_)
+        return;
+    bool is_recorded = is_contact_undecided()
+                           ? is_proposed_lost_
+                           : state_.worker_at(worker_).lease_left_.has_value();
+    // A worker that has accepted calls may accept the next one.
+    bool is_lost = lost_calls_ >= recorded_lost_calls || !can_list_runs(now) ||
+                   (refusing_since_ && !was_listed_once_);
+    bool may_have_runs =
+        std::any_of(runs_.begin(), runs_.end(), [](const auto& item) {
+            return item.second.phase_ != run_phase::unsent;
+        });
+    set_contact command{worker_, incarnation_, std::nullopt};
+    // Calls to an earlier incarnation may still grant this one a lease.
+    bool is_new_loss = !is_recorded && is_lost && may_have_runs &&
+                       !awaits_listing_ && now < lease_end();
+    if (is_new_loss)
+        command.lease_left_ = lease_end() - now;
+    else if (!is_recorded || !has_listed_)
+        return;
+    std::erase_if(contact_proposals_, [this](std::uint64_t proposal) {
+        return !proposals_.is_undecided(proposal);
+    });
+    contact_proposals_.push_back(proposals_.current());
+    is_proposed_lost_ = is_new_loss;
+    next_contact_proposal_ = now + proposal_interval;
+    out.observations_.push_back(command);
+    if (is_new_loss) {
+        auto left =
+            std::chrono::floor<std::chrono::milliseconds>(*command.lease_left_);
+        out.events_.push_back(
+            {worker_.str(), "worker " + worker_.str() +
+                                " is out of contact; its leases end within " +
+                                std::to_string(left.count()) + " ms"});
+    }
+}
+
 // Once the last lease has certainly expired, all runs on the worker have ended.
 void pool_owner::worker_session::propose_lapsed_run_ends(instant now,
                                                          owner_output& out)
@@ -483,7 +542,8 @@
     // A start grants a lease. Leases that may never arrive would postpone
     // forever the time at which the run has certainly ended, so hold calls
     // probe the worker first.
-    bool is_lost = lost_calls_ >= max_lost_calls || refusing_since_;
+    bool is_lost = lost_calls_ >= max_lost_calls || refusing_since_ ||
+                   may_be_recorded_lost();
     if (is_lost && entry.phase_ == run_phase::unsent)
         desired = false;
     if (!desired && entry.phase_ == run_phase::unsent) {
@@ -543,7 +603,8 @@
     if ((has_runs || is_watched(now)) && !must_know && clock_ms_)
         call.wait_ = timing_.hold_wait_;
     // What a worker cannot list ends with its lease.
-    bool may_renew = !is_fenced_ && !retire_deadline_ && can_list_runs(now);
+    bool may_renew = !is_fenced_ && !retire_deadline_ && can_list_runs(now) &&
+                     !may_be_recorded_lost();
     // A lease that may never arrive would postpone the time at which the runs
     // have certainly ended.
     instant lease_end{};
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -27,6 +27,12 @@
                    fencing_tokens& tokens, const proposal_tracker& proposals,
                    worker_name worker, std::int64_t incarnation, instant now,
                    bool is_inherited, duration clock_wait);
+    /// Limits the leases that earlier owners may have granted to those that
+    /// last until then at most.
+    void limit_inherited_lease(instant end)
+    {
+        settled_lease_end_ = std::min(settled_lease_end_, end);
+    }
 
     [[nodiscard]] const worker_name& worker() const { return worker_; }
     [[nodiscard]] std::int64_t incarnation() const { return incarnation_; }
@@ -181,6 +187,12 @@
     void advance_successor_hold(instant now, std::uint64_t& next_call,
                                 owner_output& out);
     void propose_lapsed_run_ends(instant now, owner_output& out);
+    /// Proposes that the worker is out of contact, or in contact again.
+    void propose_contact(instant now, owner_output& out);
+    [[nodiscard]] bool is_contact_undecided() const;
+    /// Whether the state says, or may come to say, that the worker is out of
+    /// contact. No lease may be granted then.
+    [[nodiscard]] bool may_be_recorded_lost() const;
     /// Ends the incarnation of a retiring worker once nothing runs there.
     void propose_incarnation_end(instant now, owner_output& out);
     [[nodiscard]] bool may_propose_incarnation_end(instant now) const;
@@ -285,6 +297,15 @@
     /// When the first of these was lost, and whether by a closed connection.
     instant contact_lost_at_{};
     bool was_closed_ = false;
+    /// Whether it has listed its runs in full since it was last out of contact.
+    bool has_listed_ = false;
+    /// Whether it has ever done so for this owner.
+    bool was_listed_once_ = false;
+    /// The proposals on that which may be undecided, oldest first.
+    std::vector<std::uint64_t> contact_proposals_;
+    /// What the last of them says.
+    bool is_proposed_lost_ = false;
+    instant next_contact_proposal_{};
     /// Since when the worker has refused hold calls, while it does.
     std::optional<instant> refusing_since_;
     /// Why its incarnation ended, once that was judged.
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -158,6 +158,7 @@
                                                   owner_output& out)
 {
     bool not_sent = lost.certainly_not_sent_;
+    has_listed_ = false;
     if (++lost_calls_ == 1) {
         contact_lost_at_ = now;
         was_closed_ = lost.was_closed_;
@@ -300,6 +301,8 @@
                                                     owner_output& out)
 {
     report_refusal(answer.verdict_, now, out);
+    has_listed_ = answer.verdict_ == call_verdict::done && answer.is_complete_;
+    was_listed_once_ = was_listed_once_ || has_listed_;
     if (answer.verdict_ != call_verdict::done) {
         acked_cursor_ = 0;
         next_hold_at_ = now + timing_.call_timeout_;
--- a/libs/pool/test/held_commit_test.cpp
+++ b/libs/pool/test/held_commit_test.cpp
@@ -155,9 +155,24 @@
     {
         pool.decide(false);
         std::vector<worker_call> starts = pool.wait_in_contact(1s);
+        if (is_refusal) {
+            REQUIRE(starts.size() == 1);
+            CHECK(std::get<start_call>(starts[0].operation_).run_.run_ == 1);
+            CHECK(pool.proposed_ends().empty());
+            return;
+        }
+        // While it is undecided that the worker was out of contact, it gets no
+        // lease, so the run has lapsed for good.
+        CHECK(starts.empty());
+        CHECK(pool.proposed_ends() == std::vector{run_outcome::lapsed});
+        REQUIRE(pool.has_run(1));
+        pool.decide();
+        CHECK(!pool.has_run(1));
+        CHECK(pool.wait_in_contact(50ms).empty());
+        pool.decide();
+        starts = pool.wait_in_contact(100ms);
         REQUIRE(starts.size() == 1);
-        CHECK(std::get<start_call>(starts[0].operation_).run_.run_ == 1);
-        CHECK(pool.proposed_ends().empty());
+        CHECK(std::get<start_call>(starts[0].operation_).run_.run_ == 2);
     }
     SECTION("another owner takes over")
     {
--- a/libs/pool/test/random_run_test.cpp
+++ b/libs/pool/test/random_run_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <deque>
 #include <functional>
 #include <queue>
 #include <random>
@@ -27,10 +28,19 @@
 // Longer than any call.
 constexpr duration max_call_time = 2500ms;
 
+// How long a run may be held on a worker that is out of contact: a hold call
+// that waits, the leases that an owner counts from its beginning, and time to
+// commit.
+constexpr duration max_unreachable_time = 2400ms + 1s + 7500ms + 1s;
+// A new owner asks each worker before it gives up its runs.
+constexpr duration max_inquiry_time = 500ms;
+
 // Time after which a smaller capacity must be respected: an interval between
 // announcements, and the time that a connection may take to be noticed as lost.
 constexpr duration capacity_grace_time = 4500ms;
 
+constexpr std::size_t standby_count = 8;
+
 // A task that has crashed three workers may start twice more.
 constexpr int max_crashes = 5;
 
@@ -64,9 +74,20 @@
         up_to_seconds
     };
 
+    /// Losses of contact with workers that go on.
+    enum class contact_losses
+    {
+        short_cuts,
+        /// Cuts, and refusals of all calls, that outlast each lease, beside
+        /// frequent changes of the owner.
+        long_ones
+    };
+
     pool_simulation(std::uint64_t seed, late_calls late,
-                    commit_times commits = commit_times::short_ones)
-        : random_(seed), late_calls_(late), commit_times_(commits)
+                    commit_times commits = commit_times::short_ones,
+                    contact_losses losses = contact_losses::short_cuts)
+        : random_(seed), late_calls_(late), commit_times_(commits),
+          contact_losses_(losses)
     {
         for (int i = 0; i < 8; ++i) {
             worker_info info;
@@ -127,6 +148,13 @@
         }
     };
 
+    /// Since when a run is on a worker out of contact, and under which owner.
+    struct unreachable_run
+    {
+        instant since_{};
+        std::uint64_t term_ = 0;
+    };
+
     /// Commands of an entry of the log that is not committed yet.
     struct log_entry
     {
@@ -187,6 +215,21 @@
             if (!slot.is_replaced_)
                 slot.state_->apply(command);
         }
+        for (owner_slot& standby : standbys_) {
+            standby.state_->apply(command);
+            standby.owner_->observe_contacts(now_);
+        }
+    }
+
+    void add_standby()
+    {
+        owner_slot standby;
+        standby.state_ = std::make_unique<pool_state>();
+        standby.state_->restore(state_.snapshot());
+        standby.owner_ =
+            std::make_unique<pool_owner>(*standby.state_, owner_timing{});
+        standby.owner_->observe_contacts(now_);
+        standbys_.push_back(std::move(standby));
     }
 
     bool chance(double share)
@@ -210,6 +253,8 @@
     {
         if (commit_times_ == commit_times::up_to_seconds)
             inject_slow_commits();
+        if (contact_losses_ == contact_losses::long_ones)
+            inject_contact_losses();
         if (chance(0.02))
             submit();
         if (chance(0.002) && !submitted_.empty())
@@ -249,6 +294,19 @@
                 now_ + std::chrono::milliseconds(pick(1500));
     }
 
+    void inject_contact_losses()
+    {
+        auto until = [this] {
+            return now_ + std::chrono::milliseconds(pick(25000));
+        };
+        if (chance(0.002))
+            partitioned_until_[pick_worker()] = until();
+        if (chance(0.002))
+            refusing_until_[pick_worker()] = until();
+        if (chance(0.004))
+            replace_owner();
+    }
+
     void change_capacity(fake_worker& worker)
     {
         auto accelerators = static_cast<std::int64_t>(pick(9));
@@ -296,6 +354,7 @@
         // lease, and lost calls delay the outcomes until they time out.
         bool was_undisturbed = replaced_at_ < since &&
                                partitioned_until_[name] < since - max_lease &&
+                               refusing_until_[name] < since - max_lease &&
                                calls_lost_at_[name] < since - max_call_time;
         if (is_over && was_undisturbed)
             check_shutdown(worker);
@@ -383,14 +442,16 @@
         }
         resolve_log();
         replaced_at_ = now_;
-        owner_slot next;
+        std::size_t standbys =
+            contact_losses_ == contact_losses::long_ones ? standby_count : 1;
+        while (standbys_.size() < standbys)
+            add_standby();
+        owner_slot next = std::move(standbys_.front());
+        standbys_.pop_front();
         next.term_ = ++term_;
-        next.state_ = std::make_unique<pool_state>();
-        next.state_->restore(state_.snapshot());
-        next.owner_ =
-            std::make_unique<pool_owner>(*next.state_, owner_timing{});
         next.owner_->begin(next.term_, now_);
         owners_.push_back(std::move(next));
+        add_standby();
     }
 
     bool is_partitioned(const worker_name& name) const
@@ -399,6 +460,12 @@
         return found != partitioned_until_.end() && now_ < found->second;
     }
 
+    bool is_refusing(const worker_name& name) const
+    {
+        auto found = refusing_until_.find(name);
+        return found != refusing_until_.end() && now_ < found->second;
+    }
+
     static bool is_registered(const pool_state& state,
                               const fake_worker& worker)
     {
@@ -513,6 +580,16 @@
             });
             return;
         }
+        if (is_refusing(call.worker_)) {
+            schedule_after(1ms, [this, term, call] {
+                call_answer answer;
+                answer.verdict_ = call_verdict::unhealthy;
+                answer.is_complete_ = false;
+                if (pool_owner* owner = find_owner(term))
+                    owner->handle_result(call.id_, answer, now_);
+            });
+            return;
+        }
         duration wait{};
         if (const auto* hold = std::get_if<hold_call>(&call.operation_))
             wait = std::min<duration>(hold->wait_, 200ms);
@@ -705,8 +782,36 @@
         worker.restart(now_);
     }
 
+    // A run on a worker out of contact is given up with its lease, however
+    // often the owner changes.
+    void check_unreachable_runs()
+    {
+        std::map<run_ref, unreachable_run> since;
+        for (const auto& item : workers_) {
+            const worker_name& name = item.first;
+            if (!is_partitioned(name) && !is_refusing(name))
+                continue;
+            for (const run_ref& run : state_.runs_on(name)) {
+                auto known = unreachable_runs_.find(run);
+                unreachable_run item{now_, term_};
+                if (known != unreachable_runs_.end())
+                    item = known->second;
+                INFO(to_text(run) << " on " << name.str());
+                REQUIRE(now_ - item.since_ <=
+                        max_unreachable_time +
+                            max_inquiry_time * (term_ - item.term_));
+                since.emplace(run, item);
+            }
+        }
+        unreachable_runs_ = std::move(since);
+    }
+
     void check_invariants()
     {
+        // With slow commits the end of a run has no bound.
+        if (contact_losses_ == contact_losses::long_ones &&
+            commit_times_ == commit_times::short_ones)
+            check_unreachable_runs();
         for (const auto& [name, worker] : workers_) {
             for (const auto& [run, item] : worker.running_) {
                 INFO(to_text(run) << " on " << name.str());
@@ -751,6 +856,7 @@
     std::mt19937_64 random_;
     late_calls late_calls_;
     commit_times commit_times_;
+    contact_losses contact_losses_;
     instant now_{};
     /// Undecided entries, by index.
     std::map<std::uint64_t, log_entry> log_;
@@ -763,6 +869,9 @@
     pool_state state_;
     std::map<worker_name, fake_worker> workers_;
     std::vector<owner_slot> owners_;
+    /// The replicas that will own the pool next, in this order. The more there
+    /// are, the longer the next one has followed the log.
+    std::deque<owner_slot> standbys_;
     std::uint64_t term_ = 0;
     std::vector<std::pair<job_id, queue_access>> submitted_;
     /// The state keeps them only until a job is final.
@@ -771,6 +880,9 @@
     std::map<worker_name, std::vector<std::pair<instant, resources>>>
         capacities_;
     std::map<worker_name, instant> partitioned_until_;
+    std::map<worker_name, instant> refusing_until_;
+    /// The runs on workers that are out of contact.
+    std::map<run_ref, unreachable_run> unreachable_runs_;
     instant replaced_at_{};
     std::map<worker_name, instant> calls_lost_at_;
     std::set<task_ref> done_;
@@ -786,7 +898,9 @@
 /// environment names: DANDELIONCRANK_FIRST_SEED, DANDELIONCRANK_SEED_COUNT.
 void run_seeds(std::uint64_t default_count, pool_simulation::late_calls late,
                pool_simulation::commit_times commits =
-                   pool_simulation::commit_times::short_ones)
+                   pool_simulation::commit_times::short_ones,
+               pool_simulation::contact_losses losses =
+                   pool_simulation::contact_losses::short_cuts)
 {
     auto number = [](const char* name, std::uint64_t otherwise) {
         const char* text = std::getenv(name);
@@ -797,7 +911,7 @@
     REQUIRE(count > 0);
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
         INFO("seed " << seed);
-        pool_simulation(seed, late, commits).run();
+        pool_simulation(seed, late, commits, losses).run();
     }
 }
 
@@ -825,3 +939,24 @@
     run_seeds(20, pool_simulation::late_calls::end_with_the_process,
               pool_simulation::commit_times::up_to_seconds);
 }
+
+// Each new owner counted the leases of a lost worker from its own beginning, so
+// that tasks waited as long as the owner changed (review/15); and each refused
+// call counted as a lease (review/11).
+TEST_CASE("no task runs twice or is held back by workers out of contact",
+          "[pool_contact_losses]")
+{
+    run_seeds(20, pool_simulation::late_calls::end_with_the_process,
+              pool_simulation::commit_times::short_ones,
+              pool_simulation::contact_losses::long_ones);
+}
+
+// A lease between the record of a loss and that of the return, while either is
+// undecided, would outlast what the next owner waits for.
+TEST_CASE("no task runs twice under losses of contact and slow commits",
+          "[pool_contact_losses]")
+{
+    run_seeds(20, pool_simulation::late_calls::end_with_the_process,
+              pool_simulation::commit_times::up_to_seconds,
+              pool_simulation::contact_losses::long_ones);
+}
