--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -8,9 +8,6 @@
 
 using namespace std::chrono_literals;
 
-// Workers' clocks may be 2 % slow; the margin covers the network round trip.
-constexpr double clock_drift = 1.02;
-constexpr duration lease_margin = 150ms;
 // Number of failed or stalled jobs from which a worker is quarantined.
 constexpr std::size_t max_failed_jobs = 2;
 // How long a member of a completed gang may take to report its own outcome.
@@ -23,15 +20,9 @@
 constexpr duration max_removal_delay = 1500ms;
 // Number of consecutive lost calls from which no start is sent.
 constexpr int max_lost_calls = 3;
-// Number of consecutive lost calls from which a worker is out of contact for
-// its owner's successors.
-constexpr int recorded_lost_calls = 2;
 // Age of an announcement up to which an unguarded worker gets starts: two
 // intervals between announcements.
 constexpr duration max_capacity_age = 3s;
-// How long the listings of a worker may leave rows out, some pages of outcomes,
-// or be refused.
-constexpr duration max_incomplete_time = 2s;
 // Maximum number of runs named in a log message.
 constexpr std::size_t max_logged_runs = 8;
 
@@ -81,42 +72,6 @@
     return is_first || is_hold_due;
 }
 
-std::int64_t pool_owner::worker_session::clock_at(instant now) const
-{
-    auto passed =
-        std::chrono::floor<std::chrono::milliseconds>(now - clock_read_at_);
-    return *clock_ms_ + passed.count();
-}
-
-duration pool_owner::worker_session::longest_lease_time() const
-{
-    return std::chrono::duration_cast<duration>(timing_.longest_lease_ *
-                                                clock_drift) +
-           lease_margin;
-}
-
-std::int64_t pool_owner::worker_session::lease_until(instant now,
-                                                     duration lease) const
-{
-    auto lease_ms = std::chrono::floor<std::chrono::milliseconds>(lease);
-    return clock_at(now) + lease_ms.count();
-}
-
-instant pool_owner::worker_session::latest_lease_end(instant now,
-                                                     duration lease)
-{
-    return now + std::chrono::duration_cast<duration>(lease * clock_drift) +
-           lease_margin;
-}
-
-instant pool_owner::worker_session::lease_end() const
-{
-    instant result = settled_lease_end_;
-    for (const auto& item : calls_)
-        result = std::max(result, item.second.lease_end_);
-    return result;
-}
-
 bool pool_owner::worker_session::is_usable(instant now) const
 {
     bool is_responsive =
@@ -143,14 +98,6 @@
            (may_ask && now < tokens_.late_until(worker_));
 }
 
-bool pool_owner::worker_session::can_list_runs(instant now) const
-{
-    auto is_recent = [now](const std::optional<instant>& since) {
-        return !since || now - *since < max_incomplete_time;
-    };
-    return is_recent(incomplete_since_) && is_recent(refusing_since_);
-}
-
 // A worker that guards its capacity rejects what does not fit. For others, the
 // capacity in the state may be as old as their last announcement.
 bool pool_owner::worker_session::is_capacity_known(instant now) const
@@ -279,61 +226,6 @@
     }
 }
 
-bool pool_owner::worker_session::is_contact_undecided() const
-{
-    return std::any_of(contact_proposals_.begin(), contact_proposals_.end(),
-                       [this](std::uint64_t proposal) {
-                           return proposals_.is_undecided(proposal);
-                       });
-}
-
-bool pool_owner::worker_session::may_be_recorded_lost() const
-{
-    return state_.worker_at(worker_).lease_left_ || is_contact_undecided();
-}
-
-// A successor that knew nothing of the loss would count the leases from its own
-// beginning, and each further one again. A proposal may follow one that is
-// undecided: the log keeps their order.
-void pool_owner::worker_session::propose_contact(instant now, owner_output& out)
-{
-    if (now < next_contact_proposal_)
-        return;
-    bool is_recorded = is_contact_undecided()
-                           ? is_proposed_lost_
-                           : state_.worker_at(worker_).lease_left_.has_value();
-    // A worker that has accepted calls may accept the next one.
-    bool is_lost = lost_calls_ >= recorded_lost_calls || !can_list_runs(now) ||
-                   (refusing_since_ && !was_listed_once_);
-    bool may_have_runs =
-        std::any_of(runs_.begin(), runs_.end(), [](const auto& item) {
-            return item.second.phase_ != run_phase::unsent;
-        });
-    set_contact command{worker_, incarnation_, std::nullopt};
-    // Calls to an earlier incarnation may still grant this one a lease.
-    bool is_new_loss = !is_recorded && is_lost && may_have_runs &&
-                       !awaits_listing_ && now < lease_end();
-    if (is_new_loss)
-        command.lease_left_ = lease_end() - now;
-    else if (!is_recorded || !has_listed_)
-        return;
-    std::erase_if(contact_proposals_, [this](std::uint64_t proposal) {
-        return !proposals_.is_undecided(proposal);
-    });
-    contact_proposals_.push_back(proposals_.current());
-    is_proposed_lost_ = is_new_loss;
-    next_contact_proposal_ = now + proposal_interval;
-    out.observations_.push_back(command);
-    if (is_new_loss) {
-        auto left =
-            std::chrono::floor<std::chrono::milliseconds>(*command.lease_left_);
-        out.events_.push_back(
-            {worker_.str(), "worker " + worker_.str() +
-                                " is out of contact; its leases end within " +
-                                std::to_string(left.count()) + " ms"});
-    }
-}
-
 // Once the last lease has certainly expired, all runs on the worker have ended.
 void pool_owner::worker_session::propose_lapsed_run_ends(instant now,
                                                          owner_output& out)
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -89,24 +89,6 @@
                call.operation_);
 }
 
-void pool_owner::worker_session::settle_lease(const open_call& call,
-                                              const call_result& result)
-{
-    const auto* answer = std::get_if<call_answer>(&result);
-    if (answer != nullptr && answer->verdict_ == call_verdict::done)
-        is_lease_uncertain_ = false;
-    // A worker that refuses a call in this way has done nothing for it. With
-    // other verdicts it may hold the lease of a start all the same.
-    bool has_no_effect = answer != nullptr
-                             ? answer->verdict_ == call_verdict::unhealthy ||
-                                   answer->verdict_ == call_verdict::fenced
-                             : std::get<call_lost>(result).certainly_not_sent_;
-    if (has_no_effect || call.lease_end_ == instant())
-        return;
-    settled_lease_end_ = std::max(settled_lease_end_, call.lease_end_);
-    is_lease_uncertain_ = is_lease_uncertain_ || answer == nullptr;
-}
-
 // The worker has done nothing for this call, since a call with a raised token
 // came first.
 void pool_owner::worker_session::repeat_overtaken(const open_call& call,
@@ -353,30 +335,6 @@
     reconcile(answer, sent_at, now, out);
 }
 
-void pool_owner::worker_session::report_refusal(call_verdict verdict,
-                                                instant now, owner_output& out)
-{
-    bool is_refused = verdict != call_verdict::done;
-    if (is_refused == refusing_since_.has_value())
-        return;
-    std::string text = "worker " + worker_.str();
-    if (is_refused) {
-        refusing_since_ = now;
-        out.events_.push_back({worker_.str(),
-                               text + " refuses hold calls with " +
-                                   std::to_string(runs_.size()) +
-                                   " runs: " + to_text(verdict),
-                               "workers_refusing_holds"});
-        return;
-    }
-    auto time =
-        std::chrono::floor<std::chrono::milliseconds>(now - *refusing_since_);
-    refusing_since_.reset();
-    out.events_.push_back(
-        {worker_.str(), text + " accepts hold calls again after " +
-                            std::to_string(time.count()) + " ms"});
-}
-
 void pool_owner::worker_session::update_stray_runs(std::set<run_ref> runs,
                                                    bool replaces, instant now,
                                                    owner_output& out)
