--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -139,6 +139,10 @@
         bool stop_requested_ = false;
         /// An unanswered start call may still reach the worker.
         bool may_arrive_late_ = false;
+        /// Number of start calls of this owner without an answer, and the
+        /// highest token of these.
+        int unanswered_starts_ = 0;
+        std::uint64_t unanswered_token_ = 0;
         /// This incarnation has listed it. An answer to a start call does not
         /// tell which incarnation has taken it.
         bool was_listed_ = false;
@@ -215,12 +219,13 @@
     void handle_stop_answer(const stop_call& call, instant now);
     [[nodiscard]] static bool has_effect(const open_call& call);
     void handle_hold_answer(const hold_call& call, const call_answer& answer,
-                            instant sent_at, instant now, owner_output& out);
+                            std::uint64_t token, instant sent_at, instant now,
+                            owner_output& out);
     /// Logs the first of several refused hold calls, and the first one that is
     /// not refused any more.
     void report_refusal(call_verdict verdict, instant now, owner_output& out);
-    void reconcile(const call_answer& answer, instant sent_at, instant now,
-                   owner_output& out);
+    void reconcile(const call_answer& answer, std::uint64_t token,
+                   instant sent_at, instant now, owner_output& out);
     /// Stops runs that are listed and not in the state. Unless the listing is
     /// newer than those before and whole, it shows no end of others.
     void update_stray_runs(std::set<run_ref> runs, bool replaces, instant now,
@@ -244,6 +249,14 @@
     /// Whether an end of the run may be proposed now.
     [[nodiscard]] bool may_propose_end(const run_entry& entry,
                                        instant now) const;
+    /// Whether a whole listing without the run, requested with a token, shows
+    /// that the starts which the worker has left unanswered are void.
+    [[nodiscard]] static bool is_start_void(const run_entry& entry,
+                                            std::uint64_t token);
+    /// Gives a run up whose starts are void, and its worker no new work for a
+    /// while.
+    void give_up_start(const run_ref& run, run_entry& entry, instant now,
+                       owner_output& out);
     /// Logs once that a run is not started since its end is undecided.
     void report_withheld(const run_ref& run, run_entry& entry, instant now,
                          owner_output& out);
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -14,6 +14,9 @@
 // How long a worker gets no new work after it refused a start for lack of
 // resources or as unhealthy.
 constexpr duration refusal_backoff = 1s;
+// Number of starts without an answer from which a run is given to another
+// worker if its own one lists its runs without it.
+constexpr int max_unanswered_starts = 3;
 // Delay before an idle worker gets an acknowledgement of recorded outcomes: a
 // new start may come first and cause a hold call anyway.
 constexpr duration ack_delay = 30ms;
@@ -83,8 +86,8 @@
                               handle_stop_result(item, answer, now);
                           },
                           [&](const hold_call& item) {
-                              handle_hold_answer(item, answer, call.sent_at_,
-                                                 now, out);
+                              handle_hold_answer(item, answer, call.token_,
+                                                 call.sent_at_, now, out);
                           }},
                call.operation_);
 }
@@ -180,8 +183,12 @@
     if (found == runs_.end())
         return;
     found->second.next_attempt_at_ = now + pause;
-    if (is_start && !not_sent)
+    if (is_start && !not_sent) {
         found->second.may_arrive_late_ = true;
+        ++found->second.unanswered_starts_;
+        found->second.unanswered_token_ =
+            std::max(found->second.unanswered_token_, call.token_);
+    }
 }
 
 void pool_owner::worker_session::handle_start_answer(const start_call& call,
@@ -276,11 +283,9 @@
         hold_requested_ = true;
 }
 
-void pool_owner::worker_session::handle_hold_answer(const hold_call& call,
-                                                    const call_answer& answer,
-                                                    instant sent_at,
-                                                    instant now,
-                                                    owner_output& out)
+void pool_owner::worker_session::handle_hold_answer(
+    const hold_call& call, const call_answer& answer, std::uint64_t token,
+    instant sent_at, instant now, owner_output& out)
 {
     report_refusal(answer.verdict_, now, out);
     has_listed_ = answer.verdict_ == call_verdict::done && answer.is_complete_;
@@ -332,7 +337,7 @@
         proposed_at_ = now;
         out.observations_.push_back(std::move(batch));
     }
-    reconcile(answer, sent_at, now, out);
+    reconcile(answer, token, sent_at, now, out);
 }
 
 void pool_owner::worker_session::update_stray_runs(std::set<run_ref> runs,
@@ -361,10 +366,33 @@
     }
 }
 
+// A worker does nothing for a token below the highest that it has seen.
+bool pool_owner::worker_session::is_start_void(const run_entry& entry,
+                                               std::uint64_t token)
+{
+    return entry.phase_ == run_phase::unconfirmed && !entry.call_id_ &&
+           entry.unanswered_starts_ >= max_unanswered_starts &&
+           entry.unanswered_token_ < token;
+}
+
+void pool_owner::worker_session::give_up_start(const run_ref& run,
+                                               run_entry& entry, instant now,
+                                               owner_output& out)
+{
+    out.events_.push_back({run.task_.job_.str(),
+                           "run " + to_text(run) + " has not begun on " +
+                               worker_.str() + " after " +
+                               std::to_string(entry.unanswered_starts_) +
+                               " starts without an answer",
+                           "starts_given_up"});
+    backoff_until_ = std::max(backoff_until_, now + timing_.quarantine_);
+    propose_run_end(run, entry, run_outcome::refused, now, out);
+}
+
 // Reconciles the reported runs with those that may exist on the worker.
 void pool_owner::worker_session::reconcile(const call_answer& answer,
-                                           instant sent_at, instant now,
-                                           owner_output& out)
+                                           std::uint64_t token, instant sent_at,
+                                           instant now, owner_output& out)
 {
     std::set<run_ref> reported;
     std::set<run_ref> unknown;
@@ -408,6 +436,11 @@
             entry.phase_ = run_phase::unconfirmed;
             continue;
         }
+        // The listing that shows this comes at once after the last lost start.
+        if (is_start_void(entry, token) && !is_end_undecided(entry)) {
+            give_up_start(run, entry, now, out);
+            continue;
+        }
         if (!may_propose_end(entry, now))
             continue;
         bool was_blocked = entry.blocked_at_ && *entry.blocked_at_ <= sent_at;
--- a/libs/pool/test/call_simulation.hpp
+++ b/libs/pool/test/call_simulation.hpp
@@ -137,6 +137,8 @@
     [[nodiscard]] instant now() const { return now_; }
 
     policy policy_ = [](call_kind, int) { return carried_out; };
+    /// Whether hold calls are answered at the end of their wait.
+    bool do_holds_wait_ = false;
     std::vector<owner_event> events_;
     std::map<call_kind, int> calls_;
     /// The committed state.
@@ -302,7 +304,11 @@
         } else if (!fate.is_answered_) {
             after(call.timeout_, [report] { report(call_lost{}); });
         } else {
-            after(fate.answer_delay_, [this, call, fate, report] {
+            duration wait = wait_of(call);
+            if (wait > duration::zero() && !fate.refusal_)
+                after(fate.answer_delay_,
+                      [this, call] { (void)execute(call); });
+            after(fate.answer_delay_ + wait, [this, call, fate, report] {
                 if (is_gone(call.worker_)) {
                     report(call_lost{false, true, false, true});
                     return;
@@ -320,6 +326,13 @@
         }
     }
 
+    [[nodiscard]] duration wait_of(const worker_call& call) const
+    {
+        const auto* hold = std::get_if<hold_call>(&call.operation_);
+        return hold != nullptr && do_holds_wait_ ? hold->wait_
+                                                 : duration::zero();
+    }
+
     call_answer execute(const worker_call& call)
     {
         return workers_.at(call.worker_)
--- a/libs/pool/test/refusing_worker_test.cpp
+++ b/libs/pool/test/refusing_worker_test.cpp
@@ -145,6 +145,40 @@
           2s);
 }
 
+// Guards against a start that is sent to the same worker without end while
+// other calls to it are answered (review/12).
+TEST_CASE("a start that its worker leaves unanswered goes to another one",
+          "[refusing_worker]")
+{
+    bool do_holds_wait = GENERATE(false, true);
+    auto recover = [&](std::optional<duration> carried_out_after) {
+        call_simulation simulation;
+        simulation.do_holds_wait_ = do_holds_wait;
+        simulation.policy_ = [=](call_kind kind, int) {
+            if (kind != call_kind::start)
+                return carried_out;
+            call_fate fate = unanswered;
+            fate.carried_out_after_ = carried_out_after;
+            return fate;
+        };
+        step_spec step = pool_fixture::make_step(1, 1, false);
+        step.estimate_ = 60s;
+        simulation.submit("a", step);
+        return simulation.run_until(
+            [&] {
+                return simulation.running_on(0) || simulation.running_on(1);
+            },
+            60s);
+    };
+    // Three starts with their timeouts and pauses, and the time to plan.
+    CHECK(recover(std::nullopt) <= 3 * (400ms + 400ms) + 500ms);
+    // The simulation checks at each step that at most one run exists.
+    for (duration delay = 500ms; delay <= 12s; delay += 500ms) {
+        CAPTURE(delay / 1ms);
+        CHECK(recover(delay) <= 3s);
+    }
+}
+
 TEST_CASE("the log tells when a worker refuses hold calls", "[refusing_worker]")
 {
     call_simulation simulation;
