--- a/libs/pool/test/refusing_worker_test.cpp
+++ b/libs/pool/test/refusing_worker_test.cpp
@@ -27,6 +27,28 @@
                                 limit);
 }
 
+/// The worker leaves starts unanswered, the third of which is carried out late,
+/// and takes some time for its listings.
+call_simulation::policy slow_listings(duration time,
+                                      std::optional<duration> third_start)
+{
+    return [=](call_kind kind, int number) {
+        call_fate fate = kind == call_kind::start ? unanswered : carried_out;
+        if (kind == call_kind::hold)
+            fate.answer_delay_ = time;
+        if (kind == call_kind::start && number == 2)
+            fate.carried_out_after_ = third_start;
+        return fate;
+    };
+}
+
+void submit_minute(call_simulation& simulation)
+{
+    step_spec step = pool_fixture::make_step(1, 1, false);
+    step.estimate_ = 60s;
+    simulation.submit("a", step);
+}
+
 } // namespace
 
 // Guards against tasks that wait as long as their worker refuses all calls:
@@ -161,9 +183,7 @@
             fate.carried_out_after_ = carried_out_after;
             return fate;
         };
-        step_spec step = pool_fixture::make_step(1, 1, false);
-        step.estimate_ = 60s;
-        simulation.submit("a", step);
+        submit_minute(simulation);
         return simulation.run_until(
             [&] {
                 return simulation.running_on(0) || simulation.running_on(1);
@@ -179,6 +199,42 @@
     }
 }
 
+// Guards against a listing that is taken for proof though it was requested
+// before the last start was lost, whose token it does not make void
+// (review/12).
+TEST_CASE("a listing shows nothing of starts with its own token",
+          "[refusing_worker]")
+{
+    for (duration listing_time : {150ms, 250ms, 350ms}) {
+        for (duration delay = 400ms; delay <= 800ms; delay += 10ms) {
+            CAPTURE(listing_time / 1ms, delay / 1ms);
+            call_simulation simulation;
+            simulation.policy_ = slow_listings(listing_time, delay);
+            submit_minute(simulation);
+            // The simulation checks at each step that at most one run exists.
+            simulation.run_for(6s);
+            CHECK(simulation.calls_[call_kind::start] >= 3);
+        }
+    }
+}
+
+// Guards against a start that is repeated without end because the next one is
+// open whenever a listing arrives.
+TEST_CASE("a start without an answer is given up also if listings are slow",
+          "[slow_listings]")
+{
+    for (duration listing_time = 50ms; listing_time < 400ms;
+         listing_time += 50ms) {
+        CAPTURE(listing_time / 1ms);
+        call_simulation simulation;
+        simulation.policy_ = slow_listings(listing_time, std::nullopt);
+        submit_minute(simulation);
+        auto is_running = [&] { return simulation.running_on(1); };
+        CHECK(simulation.run_until(is_running, 60s) <=
+              3 * (400ms + 400ms) + 2 * listing_time + 500ms);
+    }
+}
+
 TEST_CASE("the log tells when a worker refuses hold calls", "[refusing_worker]")
 {
     call_simulation simulation;
