--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -449,11 +449,7 @@
     }
     bool to_send = entry.phase_ == run_phase::unsent ||
                    entry.phase_ == run_phase::unconfirmed;
-    // A further start would be open when the listing comes that may show the
-    // earlier ones void.
-    bool has_unanswered = entry.unanswered_starts_ >= max_unanswered_starts;
-    bool must_wait = has_unanswered || (entry.phase_ == run_phase::unsent &&
-                                        !knows_all_runs(now));
+    bool must_wait = entry.phase_ == run_phase::unsent && !knows_all_runs(now);
     if (!desired || !to_send || !clock_ms_ || is_lost || must_wait)
         return;
     entry.phase_ = run_phase::unconfirmed;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -133,10 +133,6 @@
         over
     };
 
-    /// Number of starts without an answer after which a run is not sent again,
-    /// and given to another worker if its own one lists its runs without it.
-    static constexpr int max_unanswered_starts = 3;
-
     struct run_entry
     {
         run_phase phase_ = run_phase::unsent;
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -14,6 +14,9 @@
 // How long a worker gets no new work after it refused a start for lack of
 // resources or as unhealthy.
 constexpr duration refusal_backoff = 1s;
+// Number of starts without an answer from which a run is given to another
+// worker if its own one lists its runs without it.
+constexpr int max_unanswered_starts = 3;
 // Delay before an idle worker gets an acknowledgement of recorded outcomes: a
 // new start may come first and cause a hold call anyway.
 constexpr duration ack_delay = 30ms;
