Tool: a submit waits for a host that has just started

Cause: a host answers 503 to GET /v1/config until it serves. config submit repeats its text on 503, but read the version that it replaces only once. Ruled out: that the daemon had ended (it answers the next call), and a load of the machine (it is rarer beside load). The message was the same for each cause; the tool now prints the response. Change: the tool reads the configuration until the host returns it, for at most 5 s; a host waits 3 s for its peers. Before: scripts/starting_host_check.sh fails with this message.

--- a/apps/tool_commands.cpp
+++ b/apps/tool_commands.cpp
@@ -2,12 +2,14 @@
 
 #include "dandelioncrank/core/json.hpp"
 
+#include <QDeadlineTimer>
 #include <QFile>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QThread>
 #include <QUuid>
 
+#include <chrono>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -18,6 +20,8 @@
 
 constexpr int max_submit_attempts = 5;
 constexpr unsigned long poll_interval_ms = 200;
+// A host that has just started waits for its peers for 3 s before it serves.
+constexpr std::chrono::seconds max_start_wait{5};
 
 struct command_context
 {
@@ -47,6 +51,13 @@
     return tool_exit_code::refused;
 }
 
+/// Whether the same call would get the same response again.
+bool is_final(const tool_response& response)
+{
+    return response.status_ != 0 && response.status_ != 503 &&
+           response.status_ != 504;
+}
+
 std::string to_display_text(const QJsonValue& value)
 {
     if (value.isString())
@@ -196,15 +207,22 @@
     return overall;
 }
 
-/// Current version of the text that a file would replace; empty if the daemon
-/// does not return the configuration.
-std::optional<qint64> current_version(const command_context& context,
-                                      const QString& text)
+/// Waits for a host that has just started, for at most max_start_wait.
+tool_response get_config(const command_context& context)
 {
-    auto response = context.client_.get("/v1/config");
-    if (exit_code_for(response.status_) != tool_exit_code::success)
-        return std::nullopt;
-    QJsonObject texts = response.body_["texts"].toObject();
+    QDeadlineTimer deadline(max_start_wait);
+    tool_response response = context.client_.get("/v1/config");
+    while (!is_final(response) && !deadline.hasExpired()) {
+        QThread::msleep(poll_interval_ms);
+        response = context.client_.get("/v1/config");
+    }
+    return response;
+}
+
+/// Version of the text that a file would replace.
+qint64 current_version(const tool_response& config, const QString& text)
+{
+    QJsonObject texts = config.body_["texts"].toObject();
     // The first line names the subject: "budget: NAME" or "town: NAME".
     QString first_line = text.section('\n', 0, 0).trimmed();
     QString subject = first_line.startsWith("budget:")
@@ -224,25 +242,22 @@
     QString id = context.options_.request_id_.empty()
                      ? QUuid::createUuid().toString(QUuid::WithoutBraces)
                      : to_qt(context.options_.request_id_);
-    std::optional<qint64> replaces = context.options_.replaces_;
-    if (*replaces < 0)
-        replaces = current_version(context, file_text);
-    if (!replaces) {
-        std::cerr << "dandelioncrank: cannot determine the current version: "
-                     "the daemon returned no configuration\n";
-        return tool_exit_code::failed;
+    qint64 replaces = context.options_.replaces_;
+    if (replaces < 0) {
+        auto config = get_config(context);
+        if (exit_code_for(config.status_) != tool_exit_code::success)
+            return report_result(context, config, {});
+        replaces = current_version(config, file_text);
     }
     QJsonObject request_body{{"file", to_qt(name)},
                              {"text", file_text},
                              {"author", to_qt(context.options_.author_)},
                              {"request_id", id},
-                             {"replaces", *replaces}};
+                             {"replaces", replaces}};
     tool_response response;
     for (int i = 0; i < max_submit_attempts; ++i) {
         response = context.client_.post("/v1/config/submit", request_body);
-        bool is_final = response.status_ != 0 && response.status_ != 503 &&
-                        response.status_ != 504;
-        if (is_final)
+        if (is_final(response))
             break;
         QThread::msleep(poll_interval_ms);
     }
@@ -360,9 +375,7 @@
     tool_response response;
     for (int i = 0; i < max_submit_attempts; ++i) {
         response = context.client_.post("/v1/jobs", job);
-        bool is_final = response.status_ != 0 && response.status_ != 503 &&
-                        response.status_ != 504;
-        if (is_final)
+        if (is_final(response))
             break;
         QThread::msleep(poll_interval_ms);
     }
