--- a/libs/pool/test/held_commit_test.cpp
+++ b/libs/pool/test/held_commit_test.cpp
@@ -205,3 +205,48 @@
     pool.decide();
     CHECK(pool.has_run(3));
 }
+
+// After the end of a run, a worker that was about to leave was not asked again
+// until that end had been committed. What ended there meanwhile was lost when
+// it left, and the task ran again (TWICE on arreola-rol-grown).
+TEST_CASE("a worker that leaves is asked for further ends before the earlier "
+          "ones are committed",
+          "[departing_ends]")
+{
+    held_pool pool;
+    const worker_name name = pool_fixture::name_of(0);
+    pool.submit("a", {pool_fixture::make_step(2, 1, false)});
+    (void)pool.wait(50ms);
+    pool.decide();
+    std::vector<worker_call> calls = pool.wait(50ms);
+    auto holds = owner_fixture::filter<hold_call>(calls);
+    REQUIRE(holds.size() == 1);
+    for (const worker_call& start : owner_fixture::filter<start_call>(calls))
+        pool.answer(start);
+    worker_info info = pool.state_.worker_at(name).info_;
+    info.is_draining_ = true;
+    pool.state_.apply(put_worker{info});
+    std::vector<run_ref> runs;
+    for (const run_ref& run : pool.state_.runs_on(name))
+        runs.push_back(run);
+    REQUIRE(runs.size() == 2);
+    call_answer listing;
+    listing.running_ = {{runs[1], {}, 90}};
+    listing.ended_ = {{1, runs[0], run_outcome::done, {}}};
+    pool.answer(holds[0], listing);
+    // The commit takes longer than the worker stays.
+    holds = owner_fixture::filter<hold_call>(pool.wait(20ms));
+    REQUIRE(holds.size() == 1);
+    CHECK(std::get<hold_call>(holds[0].operation_).outcome_cursor_ == 0);
+    listing.running_.clear();
+    listing.ended_.push_back({2, runs[1], run_outcome::done, {}});
+    pool.answer(holds[0], listing);
+    REQUIRE(pool.owner_.retire_worker(name, 1, pool.now_));
+    for (int i = 0; i < 10; ++i) {
+        for (const worker_call& call : pool.wait(10ms))
+            pool.owner_.handle_result(
+                call.id_, call_lost{true, true, true, true}, pool.now_);
+    }
+    pool.decide();
+    CHECK(pool.state_.find_job(job_id("a"))->phase_ == job_phase::completed);
+}
