--- a/libs/pool/src/worker_session.cpp
+++ b/libs/pool/src/worker_session.cpp
@@ -460,12 +460,6 @@
                           next_call, out, latest_lease_end(now, lease));
 }
 
-bool pool_owner::worker_session::is_committing_outcomes(instant now) const
-{
-    return proposed_cursor_ > state_.worker_at(worker_).outcome_cursor_ &&
-           now - proposed_at_ < proposal_interval;
-}
-
 void pool_owner::worker_session::advance_hold(instant now,
                                               std::uint64_t& next_call,
                                               owner_output& out)
@@ -488,12 +482,10 @@
                   needs_clock || refusing_since_ || is_watched(now);
     if (now < next_hold_at_ || !is_due)
         return;
-    // The next hold acknowledges outcomes that are being committed, so it waits
-    // for them. What a worker has not listed when it leaves is lost with it, so
-    // one that is about to leave is asked in between.
-    bool may_leave = info().is_draining_ && lists_runs_;
-    bool must_wait = is_committing_outcomes(now) && !may_leave;
-    if (must_wait || (hold_call_id_ && !hold_requested_))
+    // Wait for outcomes being committed: the next hold acknowledges them.
+    bool is_committing =
+        proposed_cursor_ > cursor && now - proposed_at_ < proposal_interval;
+    if (is_committing || (hold_call_id_ && !hold_requested_))
         return;
     bool must_know = hold_requested_ || !is_in_contact || is_lease_uncertain_ ||
                      refusing_since_;
--- a/libs/pool/src/worker_session.hpp
+++ b/libs/pool/src/worker_session.hpp
@@ -186,8 +186,6 @@
     /// Ends a run that has not begun if the worker is evacuated.
     void withhold_if_evacuated(const run_ref& run, run_entry& entry,
                                owner_output& out);
-    /// Whether outcomes that the worker has listed are being committed.
-    [[nodiscard]] bool is_committing_outcomes(instant now) const;
     void advance_hold(instant now, std::uint64_t& next_call, owner_output& out);
     /// Asks a new incarnation for the runs that it may have taken.
     void advance_successor_hold(instant now, std::uint64_t& next_call,
@@ -375,8 +373,6 @@
     bool has_left_ = false;
     std::optional<std::uint64_t> incarnation_end_proposal_;
     instant next_incarnation_end_{};
-    /// Whether the newest listing has runs that are under way.
-    bool lists_runs_ = false;
     /// Last outcome proposed to the log, and when.
     std::uint64_t proposed_cursor_ = 0;
     instant proposed_at_{};
--- a/libs/pool/src/worker_session_answers.cpp
+++ b/libs/pool/src/worker_session_answers.cpp
@@ -20,9 +20,6 @@
 // Delay before an idle worker gets an acknowledgement of recorded outcomes: a
 // new start may come first and cause a hold call anyway.
 constexpr duration ack_delay = 30ms;
-// Interval at which a leaving worker is asked for ends while earlier ones are
-// being committed: it answers at once until they are acknowledged.
-constexpr duration unread_end_interval = 5ms;
 
 } // namespace
 
@@ -299,7 +296,6 @@
         return;
     }
     has_unread_outcomes_ = false;
-    lists_runs_ = !answer.running_.empty();
     if (awaits_listing_ && answer.is_complete_ &&
         answer.incarnation_ == incarnation_) {
         awaits_listing_ = false;
@@ -320,16 +316,10 @@
         next_hold_at_ = now + ack_delay;
     record_outcomes batch{worker_, incarnation_, {}};
     std::uint64_t cursor = state_.worker_at(worker_).outcome_cursor_;
-    bool is_asked_again = info().is_draining_ && is_committing_outcomes(now);
-    std::uint64_t committing_cursor = is_asked_again ? proposed_cursor_ : 0;
-    bool has_new = false;
     for (const reported_outcome& item : answer.ended_) {
         if (item.sequence_ <= cursor)
             continue;
         batch.outcomes_.push_back(item);
-        if (item.sequence_ <= committing_cursor)
-            continue;
-        has_new = true;
         if (item.outcome_ == run_outcome::done &&
             item.sequence_ > proposed_cursor_)
             note_end(item.run_, now);
@@ -343,12 +333,9 @@
                                    worker_.str() +
                                    " has ended: " + to_text(item.outcome_)});
     }
-    // A later batch contains the earlier ones, which may be lost.
-    if (has_new) {
+    if (!batch.outcomes_.empty()) {
         proposed_at_ = now;
         out.observations_.push_back(std::move(batch));
-    } else if (is_asked_again) {
-        next_hold_at_ = std::max(next_hold_at_, now + unread_end_interval);
     }
     reconcile(answer, token, sent_at, now, out);
 }
--- a/libs/pool/test/held_commit_test.cpp
+++ b/libs/pool/test/held_commit_test.cpp
@@ -206,9 +206,9 @@
     CHECK(pool.has_run(3));
 }
 
-// After the end of a run, a worker that was about to leave was not asked again
-// until that end had been committed. What ended there meanwhile was lost when
-// it left, and the task ran again (TWICE on arreola-rol-grown).
+// Guards against lost ends: after the end of a run, a worker that is about to
+// leave is not asked again until that end is committed. What ends there
+// meanwhile is lost when it leaves, and the task runs again.
 TEST_CASE("a worker that leaves is asked for further ends before the earlier "
           "ones are committed",
           "[departing_ends]")
